--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for long model generations on engines that fail."""
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/backends.py
@@ -0,0 +1,92 @@
+"""Interface to backend servers, whatever protocol they speak."""
+
+from typing import Protocol
+
+from nutmegdrum_coord.ids import GenerationId
+
+from nutmegdrum.messages import (
+    CacheEvent,
+    EngineCall,
+    Finish,
+    LoadReport,
+    Order,
+    OrderStatus,
+    Token,
+)
+from nutmegdrum.settings import BackendSettings
+
+
+class TokenSource(Protocol):
+    """Open exchange with a backend server that yields one attempt's tokens."""
+
+    def next(self, timeout_ms: int) -> list[Token | Finish]:
+        """Return the items that have arrived, at least one.
+
+        Raises
+        ------
+        BackendLost
+            After `timeout_ms` of silence, or when the exchange broke.
+        """
+        ...
+
+    def close(self) -> None:
+        """Abandon the exchange; its connection is not used again."""
+        ...
+
+
+class PlainResponse(Protocol):
+    """Whole response of a plain service."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class BackendProtocol(Protocol):
+    """Protocol that backend servers speak."""
+
+    def open(self, backend: BackendSettings, call: EngineCall, timeout_ms: int) -> TokenSource:
+        """Start one attempt, allowing `timeout_ms` to connect.
+
+        Raises
+        ------
+        BackendLost
+            If no connection was made or the backend server refused the call.
+        """
+        ...
+
+    def cancel(self, backend: BackendSettings, generation: GenerationId, attempt: int) -> None:
+        """Tell the backend server that an attempt's tokens are no longer wanted."""
+        ...
+
+    def load_report(self, backend: BackendSettings, timeout_ms: int) -> LoadReport:
+        """Read the load report.
+
+        Raises
+        ------
+        BackendLost
+            If it cannot be read.
+        """
+        ...
+
+    def cache_events(
+        self, backend: BackendSettings, after: int, timeout_ms: int
+    ) -> list[CacheEvent]:
+        """Read the cache events after sequence number `after`.
+
+        Raises
+        ------
+        BackendLost
+            If they cannot be read.
+        """
+        ...
+
+    def order(self, backend: BackendSettings, order: Order, timeout_ms: int) -> OrderStatus:
+        """Give an order.
+
+        Raises
+        ------
+        BackendLost
+            If no answer came; the order may have been taken.
+        """
+        ...
--- /dev/null
+++ b/packages/plugins/src/nutmegdrum_plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-ins, one short module a feature."""
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for backend servers and the platform."""
--- /dev/null
+++ b/packages/wire/src/nutmegdrum_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift messages between the processes."""
--- /dev/null
+++ b/packages/wire/src/nutmegdrum_wire/gen/messages/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peers', 'Operators']
