--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/view.py
@@ -0,0 +1,159 @@
+"""What entry VMs know of the replicated state, and what they report back."""
+
+import msgspec
+from nutmegdrum_coord.ids import (
+    BackendId,
+    DataCentre,
+    Fingerprint,
+    IncarnationId,
+    LogPosition,
+    ModelName,
+    NoteNumber,
+    RouteName,
+    ServiceName,
+    VersionName,
+    VmId,
+    WorkspaceId,
+)
+
+from nutmegdrum.messages import LoadedVersion
+from nutmegdrum.units import Address
+
+PPM = 1_000_000
+"""Whole of a route's traffic, in parts per million."""
+
+
+class TrialView(msgspec.Struct, frozen=True, kw_only=True):
+    """Version under trial, and the share of traffic that it may get.
+
+    Attributes
+    ----------
+    share_ppm : int
+        Share of each route's traffic, in parts per million.
+    grant_ms : int
+        Time that the grant lasts after receipt, in ms; renewed by each heartbeat.
+    """
+
+    version: VersionName
+    share_ppm: int
+    grant_ms: int
+
+
+class ModelView(msgspec.Struct, frozen=True, kw_only=True):
+    """Versions of one model (or of one plain service) that may get traffic."""
+
+    name: ModelName
+    service: ServiceName
+    settled: VersionName
+    trial: TrialView | None = None
+
+
+class BackendView(msgspec.Struct, frozen=True, kw_only=True):
+    """One backend server as the state replicas know it."""
+
+    id: BackendId
+    address: Address
+    service: ServiceName
+    data_centre: DataCentre
+    leaving: bool = False
+    loaded: list[LoadedVersion] = []
+
+
+class QuarantineView(msgspec.Struct, frozen=True, kw_only=True):
+    """Request that is refused because it crashes backend servers."""
+
+    fingerprint: Fingerprint
+    remaining_ms: int
+
+
+class View(msgspec.Struct, frozen=True, kw_only=True):
+    """All that an entry VM needs to route, as of one log position.
+
+    Attributes
+    ----------
+    generation : int
+        Number that rises with each change of the rest.
+    """
+
+    position: LogPosition
+    generation: int
+    note: NoteNumber
+    models: list[ModelView] = []
+    backends: list[BackendView] = []
+    quarantines: list[QuarantineView] = []
+
+
+class RouteSample(msgspec.Struct, frozen=True, kw_only=True):
+    """Counts of one version on one route since the last report.
+
+    Attributes
+    ----------
+    first_token_ms, token_gap_ms : list of int
+        Samples in ms, at most a few of each a report.
+    """
+
+    model: ModelName
+    version: VersionName
+    route: RouteName
+    requests: int = 0
+    errors: int = 0
+    crashes: int = 0
+    truncated: int = 0
+    wrong: int = 0
+    load_permille: int = 0
+    first_token_ms: list[int] = []
+    token_gap_ms: list[int] = []
+
+
+class WorkspaceUse(msgspec.Struct, frozen=True, kw_only=True):
+    """What one workspace used on one entry VM since the last report."""
+
+    workspace: WorkspaceId
+    requests: int
+    tokens: int
+    streams: int
+
+
+class HeartbeatReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Periodic report of an entry VM.
+
+    Attributes
+    ----------
+    generation : int
+        Generation of the view in force here.
+    suspected : list of BackendId
+        Backend servers that this VM lost contact with.
+    suspects : list of Fingerprint
+        Requests whose isolated attempt crashed a backend server.
+    """
+
+    vm: VmId
+    incarnation: IncarnationId
+    generation: int
+    note: NoteNumber
+    ready: bool
+    suspected: list[BackendId] = []
+    suspects: list[Fingerprint] = []
+    samples: list[RouteSample] = []
+    use: list[WorkspaceUse] = []
+
+
+class HeartbeatAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a heartbeat.
+
+    Attributes
+    ----------
+    fresh : bool
+        Whether the answerer leads and its lease was valid, so that grants are renewed.
+    lease_ms : int
+        Time that the answer stays fresh, counted from the sending of the heartbeat, in ms.
+    view : View or None
+        New view; None if the reported generation is current.
+    shares : dict
+        Share of each workspace's limit that this VM may use, in parts per million.
+    """
+
+    fresh: bool
+    lease_ms: int
+    view: View | None = None
+    shares: dict[WorkspaceId, int] = {}
