--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/routing.py
@@ -0,0 +1,220 @@
+"""Choice of a backend server for each attempt."""
+
+import hashlib
+import random
+import threading
+from collections import defaultdict
+from collections.abc import Sequence
+
+from nutmegdrum_coord.clock import Clock
+from nutmegdrum_coord.ids import AdapterName, BackendId, ModelName, VersionName, VmId
+from nutmegdrum_coord.verdict import NO_BACKEND, OVERLOADED, Reason
+
+from nutmegdrum.backend_state import BackendState
+from nutmegdrum.balancing import Balancer, Candidate, SampledBalancer
+from nutmegdrum.messages import CacheEvent, LoadedVersion, LoadReport, LossKind
+from nutmegdrum.plugins import Kind, Registry
+from nutmegdrum.routing_query import RouteQuery
+from nutmegdrum.settings import BackendSettings, Settings
+from nutmegdrum.trial_share import TrialShare
+from nutmegdrum.view import BackendView, ModelView, TrialView, View
+
+SUBSET_SIZE = 48
+SERVING_ROLE = "serve"
+
+
+class Router:
+    """Backend servers that may get work, and the balancer's choice among them.
+
+    Calls may come from any thread.
+
+    Parameters
+    ----------
+    cfg : Settings
+        This VM's settings; its models and backend servers are used until a view arrives.
+    clock : Clock
+        Source of time for suspicions and grants.
+    rng : random.Random
+        Source of samples and draws.
+    registry : Registry
+        Plug-ins; the first balancer among them is used.
+    """
+
+    def __init__(self, cfg: Settings, clock: Clock, rng: random.Random, registry: Registry):
+        self._clock = clock
+        self._rng = rng
+        self._vm = cfg.vm.id
+        self._balancer = _balancer(registry)
+        self._fencing = {b.id: b.checks_fencing for b in cfg.backend_servers}
+        self._lock = threading.Lock()
+        self._states: defaultdict[BackendId, BackendState] = defaultdict(BackendState)
+        self._shares: dict[tuple[ModelName, VersionName], TrialShare] = {}
+        self._models: dict[ModelName, ModelView] = {}
+        self._backends: dict[str, list[BackendView]] = {}
+        self._granted_ms = 0
+        self._set(_initial_models(cfg), _initial_backends(cfg))
+
+    def set_view(self, view: View, received_ms: int) -> None:
+        """Route by `view` from now on; its grants count from `received_ms`."""
+        with self._lock:
+            self._set(view.models, view.backends)
+            self._granted_ms = received_ms
+
+    def renew_grants(self, received_ms: int) -> None:
+        """Extend the grants of the view in force, which a heartbeat's answer confirmed."""
+        with self._lock:
+            self._granted_ms = max(self._granted_ms, received_ms)
+
+    def pick_version(self, query: RouteQuery) -> VersionName | Reason:
+        """Return the version that new work shall run on.
+
+        The trial gets a request only while its grant lasts and its share allows; the settled
+        version's requests never go to it instead.
+        """
+        with self._lock:
+            return self._pick_version(query)
+
+    def choose(self, query: RouteQuery) -> BackendSettings | Reason:
+        """Return a backend server for the query, or why there is none.
+
+        `OVERLOADED` says that another suspect's attempt must end first.
+        """
+        with self._lock:
+            version = query.version or self._pick_version(query)
+            if isinstance(version, Reason):
+                return version
+            return self._choose(query, version)
+
+    def started(self, backend: BackendId, isolated: bool = False) -> None:
+        """Count an attempt that begins on `backend`."""
+        with self._lock:
+            state = self._states[backend]
+            state.in_flight += 1
+            state.isolated += isolated
+
+    def finished(self, backend: BackendId, ok: bool, isolated: bool = False) -> None:
+        """Count an attempt's end; `ok` says that the backend server answered to the end."""
+        with self._lock:
+            state = self._states[backend]
+            state.on_finished(ok)
+            state.isolated = max(0, state.isolated - isolated)
+
+    def lost(self, backend: BackendId, kind: LossKind) -> None:
+        """Suspect a backend server that stopped serving an exchange."""
+        with self._lock:
+            self._states[backend].on_lost(kind, self._clock.elapsed_ms())
+
+    def on_load_report(self, backend: BackendId, report: LoadReport) -> None:
+        """Take a backend server's load report."""
+        with self._lock:
+            self._states[backend].on_report(report)
+
+    def on_cache_events(self, backend: BackendId, events: Sequence[CacheEvent]) -> None:
+        """Take a backend server's cache events."""
+        with self._lock:
+            self._balancer.on_cache_events(backend, events)
+
+    def suspected(self) -> list[BackendId]:
+        """Return the backend servers that this VM suspects."""
+        with self._lock:
+            now_ms = self._clock.elapsed_ms()
+            return sorted(id for id, state in self._states.items() if state.suspected(now_ms))
+
+    def _set(self, models: Sequence[ModelView], backends: Sequence[BackendView]) -> None:
+        self._models = {model.name: model for model in models}
+        grouped: dict[str, list[BackendView]] = defaultdict(list)
+        for backend in sorted(backends, key=lambda b: _rank(self._vm, b.id)):
+            grouped[backend.service].append(backend)
+        self._backends = dict(grouped)
+        trials = {(m.name, m.trial.version) for m in models if m.trial is not None}
+        self._shares = {trial: self._shares.get(trial, TrialShare(self._rng)) for trial in trials}
+
+    def _pick_version(self, query: RouteQuery) -> VersionName | Reason:
+        model = self._models.get(query.model)
+        if model is None:
+            return VersionName("") if query.model in self._backends else NO_BACKEND
+        settled = self._eligible(query, model.settled)
+        trial = self._granted_trial(model)
+        if trial is None:
+            return model.settled if settled else NO_BACKEND
+        share = self._shares[model.name, trial.version]
+        to_trial = share.due(trial.share_ppm) and bool(self._eligible(query, trial.version))
+        if not to_trial and not settled:
+            return NO_BACKEND
+        share.routed(trial.share_ppm, to_trial)
+        return trial.version if to_trial else model.settled
+
+    def _granted_trial(self, model: ModelView) -> TrialView | None:
+        trial = model.trial
+        if trial is None:
+            return None
+        expired = self._clock.elapsed_ms() >= self._granted_ms + trial.grant_ms
+        return None if expired else trial
+
+    def _choose(self, query: RouteQuery, version: VersionName) -> BackendSettings | Reason:
+        eligible = self._eligible(query, version)
+        if not eligible:
+            return NO_BACKEND
+        free = [b for b in eligible if not (query.isolated and self._states[b.id].isolated)]
+        if not free:
+            return OVERLOADED
+        near = self._preferred(free)
+        candidates = [Candidate(b.id, self._states[b.id].load()) for b in near]
+        picked = self._balancer.pick(query, candidates, self._rng)
+        return self._settings(next(b for b in near if b.id == picked.id))
+
+    def _eligible(self, query: RouteQuery, version: VersionName) -> list[BackendView]:
+        model = self._models.get(query.model)
+        service = model.service if model is not None else query.model
+        wanted = LoadedVersion(query.model, version, query.adapter)
+        settled = model is None or version == model.settled
+        return [
+            backend
+            for backend in self._backends.get(service, [])
+            if not backend.leaving
+            and backend.id not in query.excluded
+            and self._states[backend.id].role == SERVING_ROLE
+            and _serves(backend, wanted, settled)
+        ]
+
+    def _preferred(self, eligible: list[BackendView]) -> list[BackendView]:
+        now_ms = self._clock.elapsed_ms()
+        healthy = [b for b in eligible if not self._states[b.id].suspected(now_ms)]
+        if healthy:
+            return healthy[:SUBSET_SIZE]
+        return [min(eligible, key=lambda b: self._states[b.id].suspected_until_ms)]
+
+    def _settings(self, backend: BackendView) -> BackendSettings:
+        return BackendSettings(
+            id=backend.id,
+            address=backend.address,
+            service=backend.service,
+            data_centre=backend.data_centre,
+            checks_fencing=self._fencing.get(backend.id, True),
+        )
+
+
+def _balancer(registry: Registry) -> Balancer:
+    provided = registry.all(Kind.ROUTING)
+    return next(iter(provided.values()), None) or SampledBalancer()
+
+
+def _rank(vm: VmId, backend: BackendId) -> bytes:
+    return hashlib.blake2b(f"{vm}/{backend}".encode(), digest_size=8).digest()
+
+
+def _serves(backend: BackendView, wanted: LoadedVersion, settled: bool) -> bool:
+    if not backend.loaded:
+        return settled and wanted.adapter == AdapterName("")
+    return wanted in backend.loaded
+
+
+def _initial_models(cfg: Settings) -> list[ModelView]:
+    return [ModelView(name=m.name, service=m.service, settled=m.version) for m in cfg.models]
+
+
+def _initial_backends(cfg: Settings) -> list[BackendView]:
+    return [
+        BackendView(id=b.id, address=b.address, service=b.service, data_centre=b.data_centre)
+        for b in cfg.backend_servers
+    ]
