--- /dev/null
+++ b/packages/coord/src/nutmegdrum_coord/claims.py
@@ -0,0 +1,311 @@
+"""Replicated claims: each non-idempotent request is run by at most one owner."""
+
+from collections import OrderedDict, defaultdict
+from enum import Enum
+from typing import Any, NamedTuple
+
+import msgspec
+
+from nutmegdrum_coord.clock import LogMs
+from nutmegdrum_coord.ids import IdempotencyKey, IncarnationId, RouteName, VmId, WorkspaceId
+from nutmegdrum_coord.parts import Answer, Command, Context
+
+DEFAULT_RETENTION_MS = 86_400_000
+DEFAULT_MAX_PER_WORKSPACE = 100_000
+MAX_OUTCOME_BYTES = 16_384
+MAX_RELEASED_TOKENS = 8
+EXPIRED_PER_COMMAND = 64
+
+
+class ClaimKey(NamedTuple):
+    """Identity of a non-idempotent request, however often it is sent."""
+
+    workspace: WorkspaceId
+    route: RouteName
+    key: IdempotencyKey
+
+
+class ClaimOutcome(msgspec.Struct, frozen=True, kw_only=True):
+    """Response that a claimed request got.
+
+    Attributes
+    ----------
+    kept : bool
+        Whether headers and body stand here; False if they were too large.
+    """
+
+    status: int
+    headers: dict[str, str] = {}
+    body: bytes = b""
+    kept: bool = True
+
+
+class ClaimState(Enum):
+    """How far a claim has come."""
+
+    RUNNING = "running"
+    FINISHED = "finished"
+    RELEASED = "released"
+
+
+class BeginClaim(Command):
+    """Ask for the claim on a request.
+
+    Attributes
+    ----------
+    digest : bytes
+        Digest of method, path and body.
+    token : str
+        Unique name of this attempt to become the owner; a command that arrives twice carries the
+        same one.
+    """
+
+    key: ClaimKey
+    digest: bytes
+    owner: VmId
+    incarnation: IncarnationId
+    token: str
+
+
+class FinishClaim(Command):
+    """Record the outcome of a request that the token's owner ran.
+
+    Attributes
+    ----------
+    resendable : bool
+        Whether the caller knows the key. A claim under a key that nobody can send again is
+        forgotten at once.
+    """
+
+    key: ClaimKey
+    token: str
+    outcome: ClaimOutcome
+    resendable: bool = True
+
+
+class ReleaseClaim(Command):
+    """Give up a claim under which no byte was sent and none will be.
+
+    Released before its `BeginClaim` is applied, a token never gets the claim.
+    """
+
+    key: ClaimKey
+    token: str
+    resendable: bool = True
+
+
+class ClaimGranted(Answer):
+    """The token owns the claim."""
+
+
+class ClaimRunning(Answer):
+    """Another token owns the claim, and no outcome is known."""
+
+    owner: VmId
+    incarnation: IncarnationId
+
+
+class ClaimFinished(Answer):
+    """The request has run."""
+
+    outcome: ClaimOutcome
+
+
+class ClaimReleased(Answer):
+    """The token does not own the claim any more, and never will."""
+
+
+class ClaimConflict(Answer):
+    """The key was used with another request."""
+
+
+class ClaimsFull(Answer):
+    """The workspace holds as many claims as it may.
+
+    Attributes
+    ----------
+    free_ms : int
+        Time until its oldest claim expires, in ms.
+    """
+
+    free_ms: int
+
+
+class ClaimUnknown(Answer):
+    """No claim of that token is known: it has expired."""
+
+
+ClaimAnswer = (
+    ClaimGranted
+    | ClaimRunning
+    | ClaimFinished
+    | ClaimReleased
+    | ClaimConflict
+    | ClaimsFull
+    | ClaimUnknown
+)
+
+
+class _Claim(msgspec.Struct, kw_only=True):
+    key: ClaimKey
+    at: LogMs
+    state: ClaimState
+    digest: bytes = b""
+    token: str = ""
+    owner: VmId = VmId("")
+    incarnation: IncarnationId = IncarnationId("")
+    outcome: ClaimOutcome | None = None
+    released: list[str] = []
+
+
+class Claims:
+    """Part of the replicated state that holds the claims.
+
+    A claim never passes from one token to another except through its owner's own release, so
+    that no owner's clock, pause or partition can let two of them run a request. Claims are
+    forgotten by the log's time, oldest first.
+
+    Parameters
+    ----------
+    retention_ms : int
+        Time from a claim's begin to its expiry, in ms.
+    max_per_workspace : int
+        Claims that one workspace may hold.
+    """
+
+    name = "claims"
+    commands = (BeginClaim, FinishClaim, ReleaseClaim)
+
+    def __init__(
+        self,
+        retention_ms: int = DEFAULT_RETENTION_MS,
+        max_per_workspace: int = DEFAULT_MAX_PER_WORKSPACE,
+    ):
+        self._retention_ms = retention_ms
+        self._max_per_workspace = max_per_workspace
+        self._claims: OrderedDict[ClaimKey, _Claim] = OrderedDict()
+        self._held: defaultdict[WorkspaceId, OrderedDict[ClaimKey, None]] = defaultdict(OrderedDict)
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def apply(self, ctx: Context, command: Any) -> ClaimAnswer:
+        """Apply one command and return its answer."""
+        self._expire(ctx.at)
+        if isinstance(command, BeginClaim):
+            return self._begin(ctx.at, command)
+        if isinstance(command, FinishClaim):
+            return self._finish(command)
+        return self._release(ctx.at, command)
+
+    def snapshot(self) -> list[_Claim]:
+        """Return all claims, oldest first."""
+        return list(self._claims.values())
+
+    def restore(self, state: bytes) -> None:
+        """Replace all claims."""
+        self._claims.clear()
+        self._held.clear()
+        for claim in msgspec.msgpack.decode(state, type=list[_Claim]):
+            self._hold(claim)
+
+    def _begin(self, at: LogMs, command: BeginClaim) -> ClaimAnswer:
+        claim = self._claims.get(command.key)
+        if claim is None:
+            return self._grant(at, command, released=[])
+        if command.token in claim.released:
+            return ClaimReleased()
+        if claim.state is ClaimState.RELEASED:
+            return self._grant(at, command, claim.released)
+        if claim.digest != command.digest:
+            return ClaimConflict()
+        if claim.outcome is not None:
+            return ClaimFinished(outcome=claim.outcome)
+        if claim.token == command.token:
+            return ClaimGranted()
+        return ClaimRunning(owner=claim.owner, incarnation=claim.incarnation)
+
+    def _grant(self, at: LogMs, command: BeginClaim, released: list[str]) -> ClaimAnswer:
+        full = self._full(at, command.key)
+        if full is not None:
+            return full
+        self._forget(command.key)
+        self._hold(
+            _Claim(
+                key=command.key,
+                at=at,
+                state=ClaimState.RUNNING,
+                digest=command.digest,
+                token=command.token,
+                owner=command.owner,
+                incarnation=command.incarnation,
+                released=released,
+            )
+        )
+        return ClaimGranted()
+
+    def _finish(self, command: FinishClaim) -> ClaimAnswer:
+        claim = self._claims.get(command.key)
+        if claim is None or claim.token != command.token:
+            return ClaimUnknown()
+        if claim.outcome is None and claim.state is ClaimState.RUNNING:
+            claim.state = ClaimState.FINISHED
+            claim.outcome = _bounded(command.outcome)
+        if not command.resendable:
+            self._forget(command.key)
+        return ClaimFinished(outcome=claim.outcome or command.outcome)
+
+    def _release(self, at: LogMs, command: ReleaseClaim) -> ClaimAnswer:
+        claim = self._claims.get(command.key)
+        if claim is None:
+            return self._bar(at, command)
+        if claim.outcome is not None and claim.token == command.token:
+            return ClaimFinished(outcome=claim.outcome)
+        if command.token not in claim.released:
+            claim.released = [*claim.released, command.token][-MAX_RELEASED_TOKENS:]
+        if claim.token == command.token:
+            claim.state = ClaimState.RELEASED
+        if not command.resendable:
+            self._forget(command.key)
+        return ClaimReleased()
+
+    def _bar(self, at: LogMs, command: ReleaseClaim) -> ClaimAnswer:
+        """Keep out a token whose `BeginClaim` may still be on its way."""
+        if command.resendable and self._full(at, command.key) is None:
+            released = [command.token]
+            state = ClaimState.RELEASED
+            self._hold(_Claim(key=command.key, at=at, state=state, released=released))
+        return ClaimReleased()
+
+    def _full(self, at: LogMs, key: ClaimKey) -> ClaimsFull | None:
+        held = self._held.get(key.workspace)
+        if held is None or key in held or len(held) < self._max_per_workspace:
+            return None
+        oldest = self._claims[next(iter(held))]
+        return ClaimsFull(free_ms=max(1, oldest.at + self._retention_ms - at))
+
+    def _expire(self, at: LogMs) -> None:
+        for _ in range(EXPIRED_PER_COMMAND):
+            oldest = next(iter(self._claims.values()), None)
+            if oldest is None or at - oldest.at < self._retention_ms:
+                return
+            self._forget(oldest.key)
+
+    def _hold(self, claim: _Claim) -> None:
+        self._claims[claim.key] = claim
+        self._held[claim.key.workspace][claim.key] = None
+
+    def _forget(self, key: ClaimKey) -> None:
+        if self._claims.pop(key, None) is None:
+            return
+        held = self._held[key.workspace]
+        del held[key]
+        if not held:
+            del self._held[key.workspace]
+
+
+def _bounded(outcome: ClaimOutcome) -> ClaimOutcome:
+    size = len(outcome.body) + sum(len(k) + len(v) for k, v in outcome.headers.items())
+    if size <= MAX_OUTCOME_BYTES:
+        return outcome
+    return ClaimOutcome(status=outcome.status, kept=False)
--- a/packages/kernel/src/nutmegdrum/backend_state.py
+++ b/packages/kernel/src/nutmegdrum/backend_state.py
@@ -17,6 +17,7 @@
         self.last_loss: LossKind | None = None
         self.role = "serve"
         self._report: LoadReport | None = None
+        self._lower_sequence: int | None = None
         self._in_flight_at_report = 0
         self._losses = 0
 
@@ -33,17 +34,31 @@
         return (others + self.in_flight) / max(1, self._report.slots)
 
     def on_report(self, report: LoadReport) -> None:
-        """Take a load report; a backend server that reports is not suspected any more."""
-        if self._report is not None and report.sequence < self._report.sequence:
-            if not self._restarted(report):
-                return
+        """Take a load report, unless it is an old one that came late.
+
+        A report ends the suspicion of a backend server that was down; one that broke off its
+        exchanges may report and still fail, so that its suspicion runs out by time.
+        """
+        if self._late(report):
+            return
         self._report = report
+        self._lower_sequence = None
         self._in_flight_at_report = self.in_flight
         self.role = report.role
-        self.suspected_until_ms = 0
+        if self.last_loss in (LossKind.REFUSED, LossKind.RESET):
+            self.suspected_until_ms = 0
+
+    def _late(self, report: LoadReport) -> bool:
+        """Return whether a report is older than the last one, and not from after a restart.
 
-    def _restarted(self, report: LoadReport) -> bool:
-        return self._losses > 0 and self.last_loss is not None
+        Numbers start anew with the backend server; two lower numbers in rising order show that.
+        """
+        if self._report is None or report.sequence > self._report.sequence:
+            return False
+        if self._lower_sequence is not None and report.sequence > self._lower_sequence:
+            return False
+        self._lower_sequence = report.sequence
+        return True
 
     def on_finished(self, ok: bool) -> None:
         """Count the end of an attempt; a whole answer ends suspicion and its back-off."""
--- a/packages/kernel/src/nutmegdrum/routing.py
+++ b/packages/kernel/src/nutmegdrum/routing.py
@@ -14,7 +14,7 @@
 from nutmegdrum.balancing import Balancer, Candidate, SampledBalancer
 from nutmegdrum.messages import CacheEvent, LoadedVersion, LoadReport, LossKind
 from nutmegdrum.plugins import Kind, Registry
-from nutmegdrum.routing_query import RouteQuery
+from nutmegdrum.routing_query import Choice, RouteQuery
 from nutmegdrum.settings import BackendSettings, Settings
 from nutmegdrum.trial_share import TrialShare
 from nutmegdrum.view import BackendView, ModelView, TrialView, View
@@ -65,19 +65,12 @@
         with self._lock:
             self._granted_ms = max(self._granted_ms, received_ms)
 
-    def pick_version(self, query: RouteQuery) -> VersionName | Reason:
-        """Return the version that new work shall run on.
+    def choose(self, query: RouteQuery) -> Choice | Reason:
+        """Return a backend server and version for the query, or why there is none.
 
-        The trial gets a request only while its grant lasts and its share allows; the settled
-        version's requests never go to it instead.
-        """
-        with self._lock:
-            return self._pick_version(query)
-
-    def choose(self, query: RouteQuery) -> BackendSettings | Reason:
-        """Return a backend server for the query, or why there is none.
-
-        `OVERLOADED` says that another suspect's attempt must end first.
+        New work goes to the trial only while its grant lasts and its share allows, and the settled
+        version's work never goes there instead. `OVERLOADED` says that another suspect's attempt
+        must end first.
         """
         with self._lock:
             version = query.version or self._pick_version(query)
@@ -151,7 +144,7 @@
         expired = self._clock.elapsed_ms() >= self._granted_ms + trial.grant_ms
         return None if expired else trial
 
-    def _choose(self, query: RouteQuery, version: VersionName) -> BackendSettings | Reason:
+    def _choose(self, query: RouteQuery, version: VersionName) -> Choice | Reason:
         eligible = self._eligible(query, version)
         if not eligible:
             return NO_BACKEND
@@ -161,7 +154,8 @@
         near = self._preferred(free)
         candidates = [Candidate(b.id, self._states[b.id].load()) for b in near]
         picked = self._balancer.pick(query, candidates, self._rng)
-        return self._settings(next(b for b in near if b.id == picked.id))
+        backend = next(b for b in near if b.id == picked.id)
+        return Choice(self._settings(backend), version)
 
     def _eligible(self, query: RouteQuery, version: VersionName) -> list[BackendView]:
         model = self._models.get(query.model)
