--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/cli.py
@@ -0,0 +1,199 @@
+"""The operators' command line `nutmegdrum`: thin commands over the library."""
+
+import getpass
+import sys
+import uuid
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import msgspec
+
+from nutmegdrum.errors import UserError
+from nutmegdrum.operators import OperatorsClient
+from nutmegdrum.queries import (
+    AuditQuery,
+    NoteHistory,
+    NoteShow,
+    Query,
+    QueryAnswer,
+    StateQuery,
+    VmsQuery,
+)
+from nutmegdrum.queries import Report as ReportQuery
+from nutmegdrum.releases import NoteAccepted
+from nutmegdrum.render import render
+from nutmegdrum.settings import load_settings
+
+EXIT_FAILED = 1
+EXIT_USER_ERROR = 2
+EXIT_CONFLICT = 3
+
+SettingsArg = Annotated[
+    Path, cappa.Arg(long="--settings", help="Settings file of any daemon of the deployment.")
+]
+JsonArg = Annotated[bool, cappa.Arg(long="--json", help="Print JSON.")]
+
+
+def _print(answer: msgspec.Struct, as_json: bool) -> None:
+    print(msgspec.json.encode(answer).decode() if as_json else render(answer))
+
+
+def _ask(settings: Path, query: Query) -> QueryAnswer:
+    return OperatorsClient(load_settings(settings)).query(query)
+
+
+@cappa.command(name="check", help="Check a settings file.")
+@dataclass
+class SettingsCheck:
+    """Check a settings file."""
+
+    file: Path
+
+    def __call__(self) -> None:
+        """Load the file; a mistake ends the command."""
+        cfg = load_settings(self.file)
+        print(f"{self.file}: settings of {cfg.vm.id} in {cfg.deployment} are valid")
+
+
+@cappa.command(name="settings", help="Settings.")
+@dataclass
+class SettingsGroup:
+    """Group of settings commands."""
+
+    command: cappa.Subcommands[SettingsCheck]
+
+
+@cappa.command(name="submit", help="Submit a release note.")
+@dataclass
+class NoteSubmit:
+    """Submit a release note; a resend with the same command id gets the first answer."""
+
+    file: Path
+    settings: SettingsArg
+    command_id: Annotated[str, cappa.Arg(long="--command-id", help="Identity for resends.")] = (
+        field(default_factory=lambda: uuid.uuid4().hex)
+    )
+    operator: Annotated[str, cappa.Arg(long="--operator", help="Name for the audit trail.")] = (
+        field(default_factory=getpass.getuser)
+    )
+    json: JsonArg = False
+
+    def __call__(self) -> None:
+        """Send the note; a conflict or a mistake in it sets the exit code."""
+        try:
+            note = self.file.read_bytes()
+        except OSError as exc:
+            raise UserError(f"{self.file}: {exc.strerror}") from None
+        client = OperatorsClient(load_settings(self.settings))
+        answer = client.submit(self.command_id, self.operator, note)
+        _print(answer, self.json)
+        if not isinstance(answer, NoteAccepted):
+            raise cappa.Exit(code=EXIT_CONFLICT)
+
+
+@cappa.command(name="show", help="Show one release note, the newest by default.")
+@dataclass
+class NoteShowCommand:
+    """Show one release note."""
+
+    settings: SettingsArg
+    number: int | None = None
+    json: JsonArg = False
+
+    def __call__(self) -> None:
+        """Print the note."""
+        _print(_ask(self.settings, NoteShow(number=self.number)), self.json)
+
+
+@cappa.command(name="history", help="List all release notes.")
+@dataclass
+class NoteHistoryCommand:
+    """List all release notes."""
+
+    settings: SettingsArg
+    json: JsonArg = False
+
+    def __call__(self) -> None:
+        """Print the list."""
+        _print(_ask(self.settings, NoteHistory()), self.json)
+
+
+@cappa.command(name="note", help="Release notes.")
+@dataclass
+class NoteGroup:
+    """Group of release note commands."""
+
+    command: cappa.Subcommands[NoteSubmit | NoteShowCommand | NoteHistoryCommand]
+
+
+@cappa.command(name="report", help="Report whether targets held.")
+@dataclass
+class Report:
+    """Report whether targets held."""
+
+    settings: SettingsArg
+    note: Annotated[int | None, cappa.Arg(long="--note", help="Only this note.")] = None
+    json: JsonArg = False
+
+    def __call__(self) -> None:
+        """Print the report."""
+        _print(_ask(self.settings, ReportQuery(note=self.note)), self.json)
+
+
+@cappa.command(name="audit", help="Print the audit trail.")
+@dataclass
+class Audit:
+    """Print the audit trail."""
+
+    settings: SettingsArg
+    after: Annotated[int, cappa.Arg(long="--after", help="Log position to start after.")] = 0
+    json: JsonArg = False
+
+    def __call__(self) -> None:
+        """Print the events."""
+        _print(_ask(self.settings, AuditQuery(after=self.after)), self.json)
+
+
+@cappa.command(name="vms", help="List VMs and backend servers.")
+@dataclass
+class Vms:
+    """List VMs and backend servers."""
+
+    settings: SettingsArg
+    json: JsonArg = False
+
+    def __call__(self) -> None:
+        """Print the list."""
+        _print(_ask(self.settings, VmsQuery()), self.json)
+
+
+@cappa.command(name="state", help="Show models, moves and open orders.")
+@dataclass
+class State:
+    """Show the replicated state."""
+
+    settings: SettingsArg
+    json: JsonArg = False
+
+    def __call__(self) -> None:
+        """Print the state."""
+        _print(_ask(self.settings, StateQuery()), self.json)
+
+
+@cappa.command(name="nutmegdrum", help="Steer and observe a deployment.")
+@dataclass
+class Nutmegdrum:
+    """Root of all commands."""
+
+    command: cappa.Subcommands[SettingsGroup | NoteGroup | Report | Audit | Vms | State]
+
+
+def main() -> None:
+    """Run one command; the entry point of `nutmegdrum`."""
+    try:
+        cappa.invoke(Nutmegdrum)
+    except UserError as exc:
+        print(f"nutmegdrum: {exc}", file=sys.stderr)
+        sys.exit(EXIT_USER_ERROR)
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/handlers.py
@@ -0,0 +1,113 @@
+"""Handlers of the thrift services: each call goes to the role that it concerns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from nutmegdrum_coord import verdict as v
+from nutmegdrum_coord.ids import CommandId, VmId
+from nutmegdrum_wire.gen.messages.ttypes import (
+    AppendResult,
+    Sender,
+    StreamAppend,
+    StreamCopy,
+    StreamOpen,
+)
+
+if TYPE_CHECKING:
+    from nutmegdrum.entry import EntryRole
+    from nutmegdrum.state_daemon import StateRole
+
+
+class PeersHandler:
+    """Handler of the `Peers` service.
+
+    Parameters
+    ----------
+    state : StateRole or None
+        State role of this process.
+    entry : EntryRole or None
+        Entry role of this process.
+    """
+
+    def __init__(self, state: StateRole | None, entry: EntryRole | None):
+        self._state = state
+        self._entry = entry
+
+    def leader(self) -> VmId | None:
+        """Return the state leader's VM, as far as it is known here."""
+        return self._state.leader() if self._state is not None else None
+
+    def _state_role(self) -> StateRole:
+        if self._state is None:
+            raise v.Refusal(v.NOT_FOUND, detail="this VM holds no state replica")
+        return self._state
+
+    def _entry_role(self) -> EntryRole:
+        if self._entry is None:
+            raise v.Refusal(v.NOT_FOUND, detail="this VM is no entry VM")
+        return self._entry
+
+    def exchange_log(self, sender: Sender, messages: list[bytes]) -> list[bytes]:
+        """Take messages of the replicated log and return those for the sender."""
+        return self._state_role().exchange_log(VmId(sender.vm), messages)
+
+    def propose(self, sender: Sender, command: bytes) -> bytes:
+        """Commit a command and return its answer."""
+        return self._state_role().propose(command)
+
+    def read(self, sender: Sender, query: bytes, fresh: bool) -> bytes:
+        """Answer a query, under the leader's lease if `fresh`."""
+        return self._state_role().query(query, fresh)
+
+    def heartbeat(self, sender: Sender, report: bytes) -> bytes:
+        """Take an entry VM's report and return what it must know."""
+        return self._state_role().heartbeat(report)
+
+    def gossip(self, sender: Sender, digest: bytes) -> bytes:
+        """Take an entry VM's digest and return this VM's."""
+        return self._entry_role().gossip(digest)
+
+    def open_stream(self, sender: Sender, opened: StreamOpen) -> StreamCopy:
+        """Start holding a copy of a stream."""
+        return self._entry_role().journal.open_stream(opened)
+
+    def append_streams(self, sender: Sender, appends: list[StreamAppend]) -> list[AppendResult]:
+        """Add tokens to copies held here."""
+        return self._entry_role().journal.append_streams(appends)
+
+    def fetch_stream(self, sender: Sender, generation: str, workspace: str) -> StreamCopy:
+        """Return the copy held here."""
+        return self._entry_role().journal.fetch_stream(generation, workspace)
+
+    def take_over_stream(
+        self, sender: Sender, generation: str, workspace: str, epoch: int
+    ) -> StreamCopy:
+        """Make the sender the owner of a stream, under a higher epoch."""
+        journal = self._entry_role().journal
+        return journal.take_over_stream(sender.vm, generation, workspace, epoch)
+
+    def find_stream(self, sender: Sender, workspace: str, idempotency_key: str) -> StreamCopy:
+        """Return the copy of the stream that was started under a key."""
+        return self._entry_role().journal.find_stream(workspace, idempotency_key)
+
+    def close_stream(self, sender: Sender, generation: str) -> None:
+        """Forget a copy soon."""
+        self._entry_role().journal.close_stream(generation)
+
+
+class OperatorsHandler:
+    """Handler of the `Operators` service."""
+
+    def __init__(self, state: StateRole):
+        self._state = state
+
+    def submit_note(
+        self, sender: Sender, command_id: str, operator_name: str, note: bytes
+    ) -> bytes:
+        """Submit a release note and return the encoded answer."""
+        return self._state.submit_note(CommandId(command_id), operator_name, note)
+
+    def query(self, sender: Sender, query: bytes) -> bytes:
+        """Answer a query under the leader's lease."""
+        return self._state.query(query, fresh=True)
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/logs.py
@@ -0,0 +1,17 @@
+"""Structured log lines, written for changes of state only."""
+
+import sys
+from typing import Any
+
+import eliot
+
+
+def start_logging(vm: str) -> None:
+    """Write log lines as JSON to standard error, each with the VM's id."""
+    eliot.add_global_fields(vm=vm)
+    eliot.to_file(sys.stderr)
+
+
+def log_change(subject: str, **details: Any) -> None:
+    """Write one line that says what changed."""
+    eliot.log_message(message_type=f"nutmegdrum:{subject}", **details)
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/metrics.py
@@ -0,0 +1,19 @@
+"""Counters, gauges and histograms, one object each, for all modules."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+_LATENCY_BUCKETS_S = (0.005, 0.02, 0.057, 0.1, 0.25, 0.5, 1.0, 1.6, 2.0, 5.0, 10.0, 60.0)
+
+REQUESTS = Counter("nutmegdrum_requests", "Requests by route and outcome", ["route", "outcome"])
+REFUSALS = Counter("nutmegdrum_refusals", "Refusals by reason and verdict", ["reason", "verdict"])
+STREAMS = Gauge("nutmegdrum_streams", "Streams that run now")
+TOKENS = Counter("nutmegdrum_tokens", "Tokens that were sent to callers")
+FIRST_TOKEN_S = Histogram(
+    "nutmegdrum_first_token_seconds",
+    "Time from arrival to the first token",
+    buckets=_LATENCY_BUCKETS_S,
+)
+HEARTBEATS = Counter("nutmegdrum_heartbeats", "Heartbeats by outcome", ["outcome"])
+VIEW_POSITION = Gauge("nutmegdrum_view_position", "Log position of the view in force")
+NOTE_IN_FORCE = Gauge("nutmegdrum_note_in_force", "Number of the release note in force")
+PEER_CALLS = Counter("nutmegdrum_peer_calls", "Calls to other VMs by method", ["method", "outcome"])
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/state_client.py
@@ -0,0 +1,97 @@
+"""Calls from any daemon to the state replicas: finds the leader and follows it."""
+
+import threading
+from collections.abc import Sequence
+
+import msgspec
+from nutmegdrum_coord import verdict as v
+from nutmegdrum_coord.ids import VmId
+
+from nutmegdrum.rpc import PeerUnreachable, RpcClient
+from nutmegdrum.settings import PeerSettings
+from nutmegdrum.view import HeartbeatAnswer, HeartbeatReport
+
+RETRY_AFTER_NO_QUORUM_MS = 2_000
+
+
+class StateClient:
+    """Client of the state replicas; thread-safe.
+
+    Parameters
+    ----------
+    rpc : RpcClient
+        Client of the `Peers` service.
+    replicas : sequence of PeerSettings
+        All state replicas.
+    """
+
+    def __init__(self, rpc: RpcClient, replicas: Sequence[PeerSettings]):
+        self._rpc = rpc
+        self._replicas = {peer.vm: peer for peer in replicas}
+        self._leader: VmId | None = None
+        self._lock = threading.Lock()
+
+    def propose(self, command: bytes, timeout_ms: int) -> bytes:
+        """Commit an encoded command and return the encoded answer.
+
+        Raises
+        ------
+        Refusal
+            `NO_QUORUM` with `NOT_RUN` if no replica took the command, with `MAY_HAVE_RUN` if one
+            took it and its fate is unknown.
+        """
+        for vm in self._order():
+            try:
+                answer = self._call(vm, "propose", command, timeout_ms=timeout_ms)
+            except PeerUnreachable as exc:
+                if exc.sent:
+                    raise self._no_quorum(v.Verdict.MAY_HAVE_RUN) from None
+                continue
+            except v.Refusal as refusal:
+                if refusal.why is not v.NOT_LEADER:
+                    raise
+                continue
+            self._note_leader(vm)
+            return answer
+        raise self._no_quorum(v.Verdict.NOT_RUN)
+
+    def heartbeat(self, report: HeartbeatReport, timeout_ms: int) -> HeartbeatAnswer:
+        """Report to the leader, or else to any replica, and return its answer.
+
+        Raises
+        ------
+        PeerUnreachable
+            If no replica answers.
+        """
+        encoded = msgspec.msgpack.encode(report)
+        stale: HeartbeatAnswer | None = None
+        for vm in self._order():
+            try:
+                data = self._call(vm, "heartbeat", encoded, timeout_ms=timeout_ms)
+            except (PeerUnreachable, v.Refusal):
+                continue
+            answer = msgspec.msgpack.decode(data, type=HeartbeatAnswer)
+            if answer.fresh:
+                self._note_leader(vm)
+                return answer
+            stale = stale or answer
+        if stale is None:
+            raise PeerUnreachable(next(iter(self._replicas.values())).address, sent=True)
+        return stale
+
+    def _call(self, vm: VmId, method: str, *args: object, timeout_ms: int) -> bytes:
+        return self._rpc.call(self._replicas[vm].address, method, *args, timeout_ms=timeout_ms)
+
+    def _order(self) -> list[VmId]:
+        with self._lock:
+            first = self._leader
+        others = [vm for vm in self._replicas if vm != first]
+        return others if first is None else [first, *others]
+
+    def _note_leader(self, vm: VmId) -> None:
+        with self._lock:
+            self._leader = vm
+
+    def _no_quorum(self, verdict: v.Verdict) -> v.Refusal:
+        detail = "the state replicas have no quorum"
+        return v.Refusal(v.NO_QUORUM, verdict, RETRY_AFTER_NO_QUORUM_MS, detail)
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/wsgi.py
@@ -0,0 +1,124 @@
+"""Small helpers over WSGI for the HTTP listeners."""
+
+import threading
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+
+from cheroot import wsgi
+
+from nutmegdrum.units import Address
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+WsgiApp = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+_READY_POLL_S = 0.01
+
+
+class Response(Exception):
+    """Whole response of a handler; may be returned or raised."""
+
+    def __init__(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: list[tuple[str, str]] | None = None,
+        content_type: str = "application/json",
+    ):
+        super().__init__(status)
+        self.status = status
+        self.body = body
+        self.headers = headers or []
+        self.content_type = content_type
+
+    def send(self, start_response: StartResponse) -> list[bytes]:
+        """Send the response."""
+        headers = list(self.headers)
+        if not any(name.lower() == "content-type" for name, _ in headers):
+            headers.append(("Content-Type", self.content_type))
+        headers.append(("Content-Length", str(len(self.body))))
+        start_response(status_line(self.status), headers)
+        return [self.body]
+
+
+def status_line(status: int) -> str:
+    """Return the status with its phrase, as WSGI wants it."""
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Status"
+
+
+def request_headers(environ: Environ) -> dict[str, str]:
+    """Return the request's headers with lower-case names."""
+    headers = {
+        key[5:].replace("_", "-").lower(): value
+        for key, value in environ.items()
+        if key.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return headers
+
+
+def read_body(environ: Environ) -> bytes:
+    """Return the request's body; its size was limited by the listener."""
+    return environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
+
+
+class HttpListener:
+    """One cheroot server on a thread of its own.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    app : WsgiApp
+        The application.
+    threads : int
+        Worker threads; each request that runs occupies one.
+    idle_timeout_ms : int
+        Time after which an idle or blocked connection is closed, in ms.
+    max_body, max_headers : int
+        Limits of a request in bytes; 0 for none.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        app: WsgiApp,
+        threads: int,
+        idle_timeout_ms: int = 10_000,
+        max_body: int = 0,
+        max_headers: int = 0,
+    ):
+        self._server = wsgi.Server(
+            (address.host, address.port),
+            app,
+            numthreads=threads,
+            server_name="nutmegdrum",
+            request_queue_size=1_024,
+            timeout=idle_timeout_ms / 1_000,
+        )
+        self._server.max_request_body_size = max_body
+        self._server.max_request_header_size = max_headers
+        self._thread = threading.Thread(target=self._serve, name=f"http-{address}", daemon=True)
+
+    def start(self) -> None:
+        """Bind the address and serve.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        self._server.prepare()
+        self._thread.start()
+
+    def _serve(self) -> None:
+        self._server.serve()
+
+    def stop(self) -> None:
+        """Close the listener and its connections."""
+        self._server.stop()
