--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/fake_plain.py
@@ -0,0 +1,140 @@
+"""Fake booking service with a ledger of every execution.
+
+`POST /bookings` books, which may not be repeated; `GET /bookings/ID` looks up; `GET /ledger`
+returns all executions. `POST /control` with `{"faults": [...]}` sets faults, of which `die`,
+`hang`, `close`, `error` and `slow` apply here.
+"""
+
+import argparse
+import asyncio
+import random
+from http import HTTPStatus
+
+import msgspec
+from nutmegdrum_coord.clock import SystemClock
+
+from nutmegdrum_testing.asyncio_http import Exchange, Request, Response, Server, die
+from nutmegdrum_testing.faults import Fault, FaultKind, FaultTable, Situation
+
+_MS_PER_S = 1000
+
+
+class Execution(msgspec.Struct):
+    """One execution of a booking."""
+
+    booking: str
+    key: str
+    attempt: str
+    body: str
+
+
+class _Faults(msgspec.Struct, forbid_unknown_fields=True):
+    faults: list[Fault] = []
+
+
+class BookingService:
+    """Handlers of the booking service."""
+
+    def __init__(self, args: argparse.Namespace):
+        self._args = args
+        self._clock = SystemClock()
+        self._rng = random.Random(args.rng_seed)
+        self._faults = FaultTable()
+        self._ledger: list[Execution] = []
+        self._requests = 0
+
+    async def handle(self, req: Request, exchange: Exchange) -> Response | None:
+        """Answer one request."""
+        if req.path == "/control":
+            return self._control(req)
+        if req.path == "/ledger":
+            return Response(HTTPStatus.OK, self._ledger)
+        if req.path == "/v1/load":
+            return Response(HTTPStatus.OK, self._load_report())
+        self._requests += 1
+        fault = self._fault(req)
+        if fault is not None and not fault.after_execution:
+            failed = await self._fail(fault, exchange)
+            if failed is not None:
+                return failed
+        await asyncio.sleep(self._args.call_ms / _MS_PER_S)
+        response = self._execute(req)
+        if fault is not None and fault.after_execution:
+            return await self._fail(fault, exchange) or response
+        return response
+
+    def _fault(self, req: Request) -> Fault | None:
+        situation = Situation(
+            now_ms=self._clock.elapsed_ms(),
+            prompt=req.body.decode(errors="replace"),
+            path=req.path,
+            requests=self._requests,
+            tokens=0,
+            luck=self._rng.random(),
+        )
+        return self._faults.find(situation, *FaultKind)
+
+    async def _fail(self, fault: Fault, exchange: Exchange) -> Response | None:
+        if fault.kind is FaultKind.ERROR:
+            return Response(HTTPStatus.INTERNAL_SERVER_ERROR, {"error": "fault"})
+        if fault.kind is FaultKind.SLOW:
+            await asyncio.sleep(self._args.call_ms * fault.factor / _MS_PER_S)
+            return None
+        if fault.kind is FaultKind.DIE:
+            die()
+        while fault.kind is FaultKind.HANG and not exchange.gone:
+            await asyncio.sleep(0.05)
+        exchange.reset()
+        raise ConnectionResetError
+
+    def _execute(self, req: Request) -> Response:
+        if req.method == "GET":
+            return self._look_up(req.path.rpartition("/")[2])
+        execution = Execution(
+            booking=f"{self._args.id}-{len(self._ledger) + 1}",
+            key=req.headers.get("idempotency-key", ""),
+            attempt=req.headers.get("nutmegdrum-attempt", ""),
+            body=req.body.decode(errors="replace"),
+        )
+        self._ledger.append(execution)
+        return Response(HTTPStatus.CREATED, {"booking": execution.booking})
+
+    def _look_up(self, booking: str) -> Response:
+        for execution in self._ledger:
+            if execution.booking == booking:
+                return Response(HTTPStatus.OK, execution)
+        return Response(HTTPStatus.NOT_FOUND, {"error": "no such booking"})
+
+    def _control(self, req: Request) -> Response:
+        if req.method == "POST":
+            faults = msgspec.json.decode(req.body, type=_Faults).faults
+            self._faults.replace(faults, self._clock.elapsed_ms())
+        state = {"id": self._args.id, "requests": self._requests, "executed": len(self._ledger)}
+        return Response(HTTPStatus.OK, state)
+
+    def _load_report(self) -> dict[str, object]:
+        return {"sequence": self._requests, "running": 0, "queued": 0, "slots": self._args.slots}
+
+
+def _parse_args() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", default="127.0.0.1:0")
+    parser.add_argument("--id", default="plain")
+    parser.add_argument("--call-ms", type=int, default=5)
+    parser.add_argument("--slots", type=int, default=64)
+    parser.add_argument("--rng-seed", type=int, default=1)
+    return parser.parse_args()
+
+
+async def _run(args: argparse.Namespace) -> None:
+    await Server(BookingService(args).handle, args.address).start()
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run a booking service until the process is ended."""
+    asyncio.run(_run(_parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/link.py
@@ -0,0 +1,171 @@
+"""TCP forwarder on loopback that a test can cut, silence or delay."""
+
+import asyncio
+import socket
+import struct
+import threading
+from collections.abc import Coroutine
+from enum import Enum
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+_CHUNK_BYTES = 1 << 16
+_POLL_S = 0.01
+_LINGER_NOT_AT_ALL = struct.pack("ii", 1, 0)
+
+
+class Direction(Enum):
+    """Way of the bytes through a link."""
+
+    FORTH = "forth"
+    BACK = "back"
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT_AT_ALL)
+    writer.transport.abort()
+
+
+class Network:
+    """Event loop, in a thread of its own, that carries all links of a test."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+        self._links: list[Link] = []
+
+    def link(self, target: str, host: str = "127.0.0.1", port: int = 0) -> "Link":
+        """Return a new link to the address `target`, which listens on `host`."""
+        link = Link(self, target, host, port)
+        self._links.append(link)
+        return link
+
+    def run(self, task: Coroutine[Any, Any, T]) -> T:
+        """Run `task` in the loop and return its result."""
+        return asyncio.run_coroutine_threadsafe(task, self._loop).result(10.0)
+
+    def close(self) -> None:
+        """Close all links and end the thread."""
+        for link in self._links:
+            self.run(link.shut())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(10.0)
+        self._loop.close()
+
+
+class Link:
+    """One forwarded address.
+
+    A silenced direction holds its bytes back and nobody is told, as when packets are dropped.
+    `reset` breaks all connections off, and `refuse` closes the listener too.
+    """
+
+    def __init__(self, network: Network, target: str, host: str, port: int):
+        self._network = network
+        self._target_host, _, target_port = target.rpartition(":")
+        self._target_port = int(target_port)
+        self._silent: set[Direction] = set()
+        self._delay_ms = 0
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._host = host
+        self._port = port
+        self.bytes_carried = {Direction.FORTH: 0, Direction.BACK: 0}
+        network.run(self._listen())
+
+    @property
+    def address(self) -> str:
+        """Return the address to connect to in place of the target's."""
+        return f"{self._host}:{self._port}"
+
+    def silence(self, *directions: Direction) -> None:
+        """Hold back the bytes of `directions`, or of both if none is given."""
+        self._silent = set(directions or Direction)
+
+    def delay(self, ms: int) -> None:
+        """Delay each chunk of bytes by `ms`, both ways."""
+        self._delay_ms = ms
+
+    def heal(self) -> None:
+        """Carry bytes again, and take connections."""
+        self._silent = set()
+        self._delay_ms = 0
+        self._network.run(self._listen())
+
+    def reset(self) -> None:
+        """Break all connections off."""
+        self._network.run(self._abort())
+
+    def refuse(self) -> None:
+        """Break all connections off and refuse new ones."""
+        self._network.run(self.shut())
+
+    async def shut(self) -> None:
+        """Close the listener and all connections; to be run in the network's loop."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        await self._abort()
+
+    async def _abort(self) -> None:
+        for writer in list(self._writers):
+            _reset(writer)
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _listen(self) -> None:
+        if self._server is None:
+            self._server = await asyncio.start_server(self._accept, self._host, self._port)
+            self._port = self._server.sockets[0].getsockname()[1]
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+        self._writers.add(writer)
+        try:
+            await self._connect(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._writers.discard(writer)
+            if task is not None:
+                self._tasks.discard(task)
+
+    async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await self._wait_until_open(Direction.FORTH)
+        there, back = await asyncio.open_connection(self._target_host, self._target_port)
+        self._writers.add(back)
+        try:
+            await asyncio.gather(
+                self._carry(Direction.FORTH, reader, back),
+                self._carry(Direction.BACK, there, writer),
+            )
+        finally:
+            self._writers.discard(back)
+            back.transport.abort()
+            writer.close()
+
+    async def _carry(
+        self, direction: Direction, source: asyncio.StreamReader, sink: asyncio.StreamWriter
+    ) -> None:
+        while data := await source.read(_CHUNK_BYTES):
+            if self._delay_ms:
+                await asyncio.sleep(self._delay_ms / 1000)
+            await self._wait_until_open(direction)
+            self.bytes_carried[direction] += len(data)
+            sink.write(data)
+            await sink.drain()
+        await self._wait_until_open(direction)
+        if sink.can_write_eof():
+            sink.write_eof()
+
+    async def _wait_until_open(self, direction: Direction) -> None:
+        while direction in self._silent:
+            await asyncio.sleep(_POLL_S)
--- /dev/null
+++ b/packages/testing/tests/test_link.py
@@ -0,0 +1,107 @@
+import contextlib
+import socket
+import threading
+
+import pytest
+from nutmegdrum_testing.link import Direction, Network
+from nutmegdrum_testing.waiting import wait_for
+
+
+@pytest.fixture
+def echo():
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        while True:
+            try:
+                conn, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=answer, args=(conn,), daemon=True).start()
+
+    def answer(conn):
+        with conn, contextlib.suppress(ConnectionError):
+            while data := conn.recv(1000):
+                conn.sendall(data)
+
+    threading.Thread(target=serve, daemon=True).start()
+    yield f"127.0.0.1:{listener.getsockname()[1]}"
+    listener.shutdown(socket.SHUT_RDWR)
+    listener.close()
+
+
+@pytest.fixture
+def network():
+    network = Network()
+    yield network
+    network.close()
+
+
+@pytest.fixture
+def link(echo, network):
+    return network.link(echo)
+
+
+def connect(link):
+    host, _, port = link.address.rpartition(":")
+    return socket.create_connection((host, int(port)), timeout=5)
+
+
+class TestLink:
+    def test_bytes_are_carried_both_ways(self, link):
+        with connect(link) as conn:
+            conn.sendall(b"hello")
+            assert conn.recv(100) == b"hello"
+        assert link.bytes_carried == {Direction.FORTH: 5, Direction.BACK: 5}
+
+    @pytest.mark.parametrize("direction", Direction)
+    def test_a_silent_direction_holds_bytes_until_it_heals(self, link, direction):
+        with connect(link) as conn:
+            conn.sendall(b"a")
+            assert conn.recv(100) == b"a"
+            link.silence(direction)
+            conn.sendall(b"b")
+            conn.settimeout(0.2)
+            with pytest.raises(TimeoutError):
+                conn.recv(100)
+            carried_forth = link.bytes_carried[Direction.FORTH]
+            assert carried_forth == (1 if direction is Direction.FORTH else 2)
+            link.heal()
+            conn.settimeout(5)
+            assert conn.recv(100) == b"b"
+
+    def test_a_reset_breaks_connections_and_takes_new_ones(self, link):
+        with connect(link) as conn:
+            conn.sendall(b"a")
+            assert conn.recv(100) == b"a"
+            link.reset()
+            with pytest.raises(ConnectionError):
+                conn.recv(100)
+        with connect(link) as conn:
+            conn.sendall(b"b")
+            assert conn.recv(100) == b"b"
+
+    def test_a_refusing_link_heals(self, link):
+        link.refuse()
+        with pytest.raises(ConnectionError):
+            connect(link).close()
+        link.heal()
+        with connect(link) as conn:
+            conn.sendall(b"b")
+            assert conn.recv(100) == b"b"
+
+    def test_a_delay_holds_each_chunk(self, link):
+        link.delay(100)
+        with connect(link) as conn:
+            conn.settimeout(0.15)
+            conn.sendall(b"a")
+            with pytest.raises(TimeoutError):
+                conn.recv(100)
+            conn.settimeout(5)
+            assert conn.recv(100) == b"a"
+
+
+class TestWaitFor:
+    def test_a_condition_that_never_holds_times_out(self):
+        with pytest.raises(TimeoutError):
+            wait_for(lambda: False, 0.05)
