Run plain calls: claims for non-idempotent ones, retries for the rest

A claim is committed before the first byte, passes to another attempt only by its owner's own release, and a proposal of unknown fate is released in the background. Ruled out: taking a claim over by time, as a pause between check and send cannot be excluded.

--- a/packages/coord/src/nutmegdrum_coord/claims.py
+++ b/packages/coord/src/nutmegdrum_coord/claims.py
@@ -45,6 +45,7 @@
 
     RUNNING = "running"
     FINISHED = "finished"
+    LOST = "lost"
     RELEASED = "released"
 
 
@@ -68,10 +69,13 @@
 
 
 class FinishClaim(Command):
-    """Record the outcome of a request that the token's owner ran.
+    """Record the outcome of a request that the token's owner sent to a backend server.
 
     Attributes
     ----------
+    outcome : ClaimOutcome or None
+        Response; None if the backend server was lost before it answered, so that the outcome will
+        never be known.
     resendable : bool
         Whether the caller knows the key. A claim under a key that nobody can send again is
         forgotten at once.
@@ -79,7 +83,7 @@
 
     key: ClaimKey
     token: str
-    outcome: ClaimOutcome
+    outcome: ClaimOutcome | None
     resendable: bool = True
 
 
@@ -111,6 +115,10 @@
     outcome: ClaimOutcome
 
 
+class ClaimLost(Answer):
+    """The request may have run, and nobody will ever know its outcome."""
+
+
 class ClaimReleased(Answer):
     """The token does not own the claim any more, and never will."""
 
@@ -139,6 +147,7 @@
     ClaimGranted
     | ClaimRunning
     | ClaimFinished
+    | ClaimLost
     | ClaimReleased
     | ClaimConflict
     | ClaimsFull
@@ -219,8 +228,8 @@
             return self._grant(at, command, claim.released)
         if claim.digest != command.digest:
             return ClaimConflict()
-        if claim.outcome is not None:
-            return ClaimFinished(outcome=claim.outcome)
+        if claim.state is not ClaimState.RUNNING:
+            return _ended(claim)
         if claim.token == command.token:
             return ClaimGranted()
         return ClaimRunning(owner=claim.owner, incarnation=claim.incarnation)
@@ -248,19 +257,19 @@
         claim = self._claims.get(command.key)
         if claim is None or claim.token != command.token:
             return ClaimUnknown()
-        if claim.outcome is None and claim.state is ClaimState.RUNNING:
-            claim.state = ClaimState.FINISHED
+        if claim.state is ClaimState.RUNNING:
             claim.outcome = _bounded(command.outcome)
+            claim.state = ClaimState.LOST if command.outcome is None else ClaimState.FINISHED
         if not command.resendable:
             self._forget(command.key)
-        return ClaimFinished(outcome=claim.outcome or command.outcome)
+        return _ended(claim)
 
     def _release(self, at: LogMs, command: ReleaseClaim) -> ClaimAnswer:
         claim = self._claims.get(command.key)
         if claim is None:
             return self._bar(at, command)
-        if claim.outcome is not None and claim.token == command.token:
-            return ClaimFinished(outcome=claim.outcome)
+        if claim.token == command.token and claim.state in (ClaimState.FINISHED, ClaimState.LOST):
+            return _ended(claim)
         if command.token not in claim.released:
             claim.released = [*claim.released, command.token][-MAX_RELEASED_TOKENS:]
         if claim.token == command.token:
@@ -304,7 +313,17 @@
             del self._held[key.workspace]
 
 
-def _bounded(outcome: ClaimOutcome) -> ClaimOutcome:
+def _ended(claim: _Claim) -> ClaimFinished | ClaimLost | ClaimReleased:
+    if claim.state is ClaimState.RELEASED:
+        return ClaimReleased()
+    if claim.outcome is None:
+        return ClaimLost()
+    return ClaimFinished(outcome=claim.outcome)
+
+
+def _bounded(outcome: ClaimOutcome | None) -> ClaimOutcome | None:
+    if outcome is None:
+        return None
     size = len(outcome.body) + sum(len(k) + len(v) for k, v in outcome.headers.items())
     if size <= MAX_OUTCOME_BYTES:
         return outcome
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/plain_http.py
@@ -0,0 +1,173 @@
+"""Exchange with a plain service over HTTP."""
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, Protocol
+
+from nutmegdrum_coord.clock import Clock
+from nutmegdrum_coord.ids import BackendId
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.exceptions import TimeoutError as HttpTimeoutError
+from urllib3.response import HTTPResponse
+
+from nutmegdrum.messages import BackendLost, LossKind
+from nutmegdrum.settings import BackendSettings
+
+MAX_REPLY_BYTES = 16 << 20
+READ_BYTES = 64 << 10
+_MS_PER_S = 1_000
+_OWN_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "nutmegdrum-attempt",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class PlainCall(NamedTuple):
+    """One attempt at a call of a plain service.
+
+    Attributes
+    ----------
+    path : str
+        Path and query, as the caller sent them.
+    """
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    attempt: int
+
+
+class PlainReply(NamedTuple):
+    """Whole response of a plain service."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class SendForbidden(Exception):
+    """The call may not be sent any more; no byte was."""
+
+
+class PlainSender(Protocol):
+    """Exchange with a backend server of a plain service."""
+
+    def send(
+        self,
+        backend: BackendSettings,
+        call: PlainCall,
+        may_send: Callable[[], bool],
+        connect_timeout_ms: int,
+        timeout_ms: int,
+    ) -> PlainReply:
+        """Connect, ask `may_send`, send the call and return the whole reply.
+
+        Raises
+        ------
+        SendForbidden
+            If `may_send` said no, right before the first byte.
+        BackendLost
+            If the exchange broke; `sent` says whether a byte may have left.
+        """
+        ...
+
+
+class HttpPlainSender:
+    """Plain services over HTTP/1.1, a connection for each call.
+
+    A kept connection may be closed by the other side just as a call is sent, which leaves open
+    whether the call ran; a new one either connects or certainly took no byte.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+
+    def send(
+        self,
+        backend: BackendSettings,
+        call: PlainCall,
+        may_send: Callable[[], bool],
+        connect_timeout_ms: int,
+        timeout_ms: int,
+    ) -> PlainReply:
+        """Connect, ask `may_send`, send the call and return the whole reply.
+
+        Raises
+        ------
+        SendForbidden
+            If `may_send` said no, right before the first byte.
+        BackendLost
+            If the exchange broke; `sent` says whether a byte may have left.
+        """
+        address = backend.address
+        timeout_s = connect_timeout_ms / _MS_PER_S
+        conn = HTTPConnection(address.host, address.port, timeout=timeout_s)
+        try:
+            _connect(conn, backend.id)
+            if not may_send():
+                raise SendForbidden
+            return self._exchange(conn, backend.id, call, timeout_ms)
+        finally:
+            conn.close()
+
+    def _exchange(
+        self, conn: HTTPConnection, backend: BackendId, call: PlainCall, timeout_ms: int
+    ) -> PlainReply:
+        deadline_ms = self._clock.elapsed_ms() + timeout_ms
+        try:
+            self._limit(conn, deadline_ms)
+            conn.request(call.method, call.path, call.body, _headers(call), preload_content=False)
+            self._limit(conn, deadline_ms)
+            response = conn.getresponse()
+            body = self._read(conn, response, deadline_ms)
+        except (TimeoutError, HttpTimeoutError) as exc:
+            raise BackendLost(backend, LossKind.SILENT, True, str(exc)) from exc
+        except (OSError, HTTPError) as exc:
+            raise BackendLost(backend, LossKind.RESET, True, str(exc)) from exc
+        return PlainReply(response.status, _reply_headers(response), body)
+
+    def _read(self, conn: HTTPConnection, response: HTTPResponse, deadline_ms: int) -> bytes:
+        body = bytearray()
+        for chunk in response.stream(READ_BYTES, decode_content=False):
+            body += chunk
+            if len(body) > MAX_REPLY_BYTES:
+                raise OSError("the reply is too large")
+            self._limit(conn, deadline_ms)
+        return bytes(body)
+
+    def _limit(self, conn: HTTPConnection, deadline_ms: int) -> None:
+        left_ms = deadline_ms - self._clock.elapsed_ms()
+        if left_ms <= 0:
+            raise TimeoutError("the time for the call is over")
+        if conn.sock is not None:
+            conn.sock.settimeout(left_ms / _MS_PER_S)
+
+
+def _connect(conn: HTTPConnection, backend: BackendId) -> None:
+    try:
+        conn.connect()
+    except (OSError, HTTPError) as exc:
+        raise BackendLost(backend, LossKind.REFUSED, False, str(exc)) from exc
+
+
+def _headers(call: PlainCall) -> dict[str, str]:
+    kept = {k: v for k, v in call.headers.items() if k.lower() not in _OWN_HEADERS}
+    return {**kept, "Nutmegdrum-Attempt": str(call.attempt)}
+
+
+def _reply_headers(response: HTTPResponse) -> dict[str, str]:
+    return {k: v for k, v in response.headers.items() if k.lower() not in _OWN_HEADERS}
--- /dev/null
+++ b/packages/kernel/tests/test_plain.py
@@ -0,0 +1,194 @@
+import random
+
+import pytest
+from nutmegdrum.claimed_calls import ClaimWriter
+from nutmegdrum.messages import BackendLost, LossKind
+from nutmegdrum.plain import PlainPath
+from nutmegdrum.plain_http import PlainReply, SendForbidden
+from nutmegdrum.plugins import Registry
+from nutmegdrum.routing import Router
+from nutmegdrum.settings import Settings, parse_settings
+from nutmegdrum_coord.claims import Claims
+from nutmegdrum_coord.clock import LogMs, ManualClock
+from nutmegdrum_coord.ids import IncarnationId, LogPosition, VmId, WorkspaceId
+from nutmegdrum_coord.parts import Context, Envelope
+from nutmegdrum_coord.verdict import (
+    BACKEND_LOST,
+    DISPATCH_EXPIRED,
+    KEY_CONFLICT,
+    NO_QUORUM,
+    OUTCOME_UNKNOWN,
+    Refusal,
+    Verdict,
+)
+
+SETTINGS = b"""{
+  "deployment": "d", "vm": {"id": "e1", "data_centre": "dc", "region": "r"}, "roles": ["entry"],
+  "listen": {"ops": "127.0.0.1:0", "peers": "127.0.0.1:0", "callers": "127.0.0.1:0"},
+  "state_replicas": [], "services": [{"name": "desk", "kind": "plain"}],
+  "routes": [{"prefix": "/desk", "service": "desk",
+              "methods": {"GET": "idempotent", "POST": "non-idempotent"}}],
+  "claims": {"join_wait": "0ms"},
+  "backend_servers": [
+    {"id": "b1", "address": "127.0.0.1:1", "service": "desk", "data_centre": "dc"},
+    {"id": "b2", "address": "127.0.0.1:2", "service": "desk", "data_centre": "dc"}]}"""
+
+
+class State:
+    """State replicas in one object, whose answers can be lost."""
+
+    def __init__(self):
+        self.claims = Claims()
+        self.failure: Refusal | None = None
+        self.applies = True
+
+    def propose(self, command):
+        answer = None
+        if self.applies:
+            ctx = Context(LogPosition(1), LogMs(0), Envelope(command=b""))
+            answer = self.claims.apply(ctx, command)
+        if self.failure is not None:
+            raise self.failure
+        return answer
+
+
+class Sender:
+    """Backend servers that run calls, refuse connections or break off."""
+
+    def __init__(self):
+        self.runs = []
+        self.refusing = set()
+        self.breaking = set()
+        self.before_send = lambda: None
+
+    def send(self, backend, call, may_send, connect_timeout_ms, timeout_ms):
+        if backend.id in self.refusing:
+            raise BackendLost(backend.id, LossKind.REFUSED, False)
+        self.before_send()
+        if not may_send():
+            raise SendForbidden
+        self.runs.append((backend.id, call))
+        if backend.id in self.breaking:
+            raise BackendLost(backend.id, LossKind.RESET, True)
+        return PlainReply(201, {"X-Run": str(len(self.runs))}, b"booked")
+
+
+class Vm:
+    """One entry VM's path over shared state and backend servers."""
+
+    def __init__(self, state=None, sender=None, name="e1"):
+        self.cfg: Settings = parse_settings(SETTINGS)
+        self.clock = ManualClock()
+        self.state = state or State()
+        self.sender = sender or Sender()
+        router = Router(self.cfg, self.clock, random.Random(1), Registry())
+        writer = ClaimWriter(VmId(name), IncarnationId(name), self.state.propose)
+        self.path = PlainPath(self.cfg, self.clock, router, writer, sender=self.sender)
+
+    def call(self, method="POST", body=b"farm 7", key="k1"):
+        headers = {"Idempotency-Key": key} if key else {}
+        route = self.path.find_route("/desk/bookings")
+        workspace = WorkspaceId("w")
+        return self.path.handle(workspace, route, method, "/desk/bookings", headers, body)
+
+    def refusal(self, **options):
+        with pytest.raises(Refusal) as caught:
+            self.call(**options)
+        return caught.value
+
+
+class TestNonIdempotentCall:
+    def test_resend_at_another_vm_gets_the_recorded_reply(self):
+        first = Vm()
+        second = Vm(first.state, first.sender, "e2")
+        assert first.call().body == b"booked"
+        assert second.call().headers["Idempotency-Replayed"] == "true"
+        assert len(first.sender.runs) == 1
+
+    def test_same_key_with_another_body_is_a_conflict(self):
+        vm = Vm()
+        vm.call()
+        refusal = vm.refusal(body=b"farm 8")
+        assert (refusal.why, refusal.verdict) == (KEY_CONFLICT, Verdict.NOT_RUN)
+
+    def test_connection_refused_tries_another_backend_server(self):
+        vm = Vm()
+        vm.sender.refusing = {"b1"}
+        for index in range(8):
+            assert vm.call(key=f"k{index}").status == 201
+        assert {backend for backend, _ in vm.sender.runs} == {"b2"}
+
+    def test_all_connections_refused_releases_the_claim(self):
+        vm = Vm()
+        vm.sender.refusing = {"b1", "b2"}
+        assert vm.refusal().verdict is Verdict.NOT_RUN
+        vm.sender.refusing = set()
+        assert vm.call().status == 201
+
+    def test_loss_after_a_byte_is_never_repeated(self):
+        vm = Vm()
+        vm.sender.breaking = {"b1", "b2"}
+        refusal = vm.refusal()
+        assert (refusal.why, refusal.verdict) == (BACKEND_LOST, Verdict.MAY_HAVE_RUN)
+        vm.sender.breaking = set()
+        refusal = Vm(vm.state, vm.sender, "e2").refusal()
+        assert (refusal.why, refusal.verdict) == (OUTCOME_UNKNOWN, Verdict.MAY_HAVE_RUN)
+        assert len(vm.sender.runs) == 1
+
+    def test_owner_paused_past_the_dispatch_deadline_sends_nothing(self):
+        vm = Vm()
+        vm.sender.before_send = lambda: vm.clock.advance(vm.cfg.claims.dispatch_deadline)
+        refusal = vm.refusal()
+        assert (refusal.why, refusal.verdict) == (DISPATCH_EXPIRED, Verdict.NOT_RUN)
+        assert vm.sender.runs == []
+        vm.sender.before_send = lambda: None
+        assert vm.call().status == 201
+
+    def test_no_quorum_is_refused_not_run(self):
+        vm = Vm()
+        vm.state.applies = False
+        vm.state.failure = Refusal(NO_QUORUM, Verdict.NOT_RUN)
+        refusal = vm.refusal()
+        assert (refusal.why, refusal.verdict) == (NO_QUORUM, Verdict.NOT_RUN)
+        assert refusal.retry_after_ms
+        assert vm.path.pending_claims() == 0
+
+    def test_unknown_fate_of_a_claim_is_not_run_and_freed_later(self):
+        vm = Vm()
+        other = Vm(vm.state, vm.sender, "e2")
+        vm.state.failure = Refusal(NO_QUORUM, Verdict.MAY_HAVE_RUN)
+        assert vm.refusal().verdict is Verdict.NOT_RUN
+        vm.state.failure = None
+        assert other.refusal().verdict is Verdict.MAY_HAVE_RUN
+        vm.clock.advance(1_000)
+        vm.path.tick()
+        assert other.call().status == 201
+        assert len(vm.sender.runs) == 1
+
+    def test_call_without_a_key_is_run_once_each_time_and_leaves_no_claim(self):
+        vm = Vm()
+        vm.call(key="")
+        vm.call(key="")
+        assert len(vm.sender.runs) == 2
+        assert len(vm.state.claims) == 0
+
+    def test_resend_without_quorum_after_a_send_is_not_called_not_run(self):
+        vm = Vm()
+        vm.call()
+        vm.state.failure = Refusal(NO_QUORUM, Verdict.NOT_RUN)
+        assert vm.refusal().verdict is Verdict.MAY_HAVE_RUN
+
+
+class TestIdempotentCall:
+    def test_loss_is_repeated_on_another_backend_server_without_quorum(self):
+        vm = Vm()
+        vm.state.failure = Refusal(NO_QUORUM, Verdict.NOT_RUN)
+        vm.sender.breaking = {"b1"}
+        for _ in range(4):
+            assert vm.call(method="GET", key="").status == 201
+
+    def test_loss_of_all_may_have_run(self):
+        vm = Vm()
+        vm.sender.breaking = {"b1", "b2"}
+        assert vm.refusal(method="GET").verdict is Verdict.MAY_HAVE_RUN
+        assert len(vm.sender.runs) == 2
