--- a/packages/kernel/src/nutmegdrum/state_daemon.py
+++ b/packages/kernel/src/nutmegdrum/state_daemon.py
@@ -5,22 +5,22 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
 import msgspec
-import pykka
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.claims import Claims
 from nutmegdrum_coord.clock import Clock, LogMs
-from nutmegdrum_coord.ids import LogPosition, VmId
+from nutmegdrum_coord.ids import CommandId, LogPosition, VmId
 from nutmegdrum_coord.parts import PartedState, encode_command
-from nutmegdrum_wire.gen.messages.ttypes import Sender
 
-from nutmegdrum.leader import Leader
+from nutmegdrum.leader_actor import LeaderActor
 from nutmegdrum.lognode import LogNode
-from nutmegdrum.logs import log_change
+from nutmegdrum.orders import Orders
+from nutmegdrum.plugins import Registry
 from nutmegdrum.quarantine import Quarantine
-from nutmegdrum.queries import Query, answer_query
+from nutmegdrum.queries import decode_query, encode_query
 from nutmegdrum.releases import Releases, SubmitNote
-from nutmegdrum.rpc import PeerUnreachable, RpcClient
-from nutmegdrum.settings import Settings
+from nutmegdrum.reports import answer_query
+from nutmegdrum.rpc import RpcClient
+from nutmegdrum.settings import ServiceKind, Settings
 from nutmegdrum.state_client import RETRY_AFTER_NO_QUORUM_MS
 from nutmegdrum.ticker import Ticker
 from nutmegdrum.view import HeartbeatReport
@@ -59,7 +59,7 @@
 
     def __init__(self, cfg: Settings, rpc: RpcClient):
         self._addresses = {peer.vm: peer.address for peer in cfg.state_replicas}
-        self._timeout_ms = cfg.control.election_timeout
+        self._timeout_ms = int(cfg.control.election_timeout)
         self._rpc = rpc
 
     def send(self, to: VmId, messages: list[bytes]) -> list[bytes]:
@@ -72,3 +72,105 @@
         """
         address = self._addresses[to]
         return self._rpc.call(address, "exchange_log", messages, timeout_ms=self._timeout_ms)
+
+
+def replicated_state(cfg: Settings) -> PartedState:
+    """Return an empty replicated state with all parts."""
+    plain = [service.name for service in cfg.services if service.kind is ServiceKind.PLAIN]
+    claims = Claims(cfg.claims.retention, cfg.claims.max_per_workspace)
+    return PartedState([Releases(cfg.models, plain), Orders(), claims, Quarantine()])
+
+
+class StateRole:
+    """All that one state replica does.
+
+    Parameters
+    ----------
+    registry : Registry
+        Loaded plug-ins, among them the rollout judge and the backend servers' protocol.
+    """
+
+    def __init__(
+        self, cfg: Settings, clock: Clock, rng: random.Random, rpc: RpcClient, registry: Registry
+    ):
+        self.cfg = cfg
+        self._clock = clock
+        self._shared = SharedState(replicated_state(cfg))
+        self._log = LogNode(cfg, clock, rng, self._shared, RpcLogTransport(cfg, rpc))
+        self._actor = LeaderActor.start(cfg, clock, rng, self._shared, self._log, registry)
+        self._leader = self._actor.proxy()
+        self._ticker = Ticker("leader", LEADER_TICK_MS, self._tick)
+
+    def start(self) -> None:
+        """Start the replica."""
+        self._log.start()
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """Stop the replica."""
+        self._ticker.stop()
+        self._actor.stop(block=False)
+        self._log.stop()
+
+    def leader(self) -> VmId | None:
+        """Return the leader as far as this replica knows."""
+        return self._log.leader()
+
+    def not_ready(self) -> str:
+        """Return why this replica cannot serve, or an empty string."""
+        return "" if self._log.leader() else "the state replicas have no leader"
+
+    def exchange_log(self, sender: VmId, messages: list[bytes]) -> list[bytes]:
+        """Take the log's messages from another replica and return those for it."""
+        return self._log.exchange(sender, messages)
+
+    def propose(self, command: bytes) -> bytes:
+        """Commit an encoded command and return the encoded answer.
+
+        Raises
+        ------
+        Refusal
+            If this replica does not lead, or the commit takes too long (`MAY_HAVE_RUN`).
+        """
+        fut = self._log.propose(command)
+        try:
+            return fut.result(PROPOSE_TIMEOUT_S).answer
+        except FutureTimeoutError:
+            verdict = v.Verdict.MAY_HAVE_RUN
+            raise v.Refusal(v.NO_QUORUM, verdict, RETRY_AFTER_NO_QUORUM_MS) from None
+
+    def submit_note(self, command_id: CommandId, operator: str, note: bytes) -> bytes:
+        """Commit a release note and return the encoded answer.
+
+        Raises
+        ------
+        Refusal
+            As for `propose`.
+        """
+        command = SubmitNote(operator=operator, note=note)
+        return self.propose(encode_command(command, command_id, operator, self._clock.wall_ms()))
+
+    def heartbeat(self, report: bytes) -> bytes:
+        """Take an entry VM's report; a replica that does not lead answers with a stale view."""
+        decoded = msgspec.msgpack.decode(report, type=HeartbeatReport)
+        return msgspec.msgpack.encode(self._leader.heartbeat(decoded).get())
+
+    def query(self, query: bytes, fresh: bool) -> bytes:
+        """Answer an encoded query.
+
+        Raises
+        ------
+        Refusal
+            `NOT_LEADER` if `fresh` and this replica's lease is not valid.
+        """
+        if fresh and not self._log.is_leader():
+            raise v.Refusal(v.NOT_LEADER)
+        observed = self._leader.observed().get()
+        with self._shared.lock:
+            answer = answer_query(self._shared.state, observed, decode_query(query))
+        if fresh and not self._log.is_leader():
+            raise v.Refusal(v.NOT_LEADER)
+        return encode_query(answer)
+
+    def _tick(self) -> None:
+        self._leader.tick().get()
