Accept release notes and plan their moves

Cause: nothing held the state that release notes change. View gains adapters of a model, and heartbeats gain running requests by version and trials that an entry VM stopped, because drains and the 2 s stop need them. Ruled out: one state object for all; parts keep the log's audit and answers in one place.

--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/fleet.py
@@ -0,0 +1,139 @@
+"""Backend servers as the state leader sees them: settings, live list and load reports."""
+
+from collections.abc import Sequence
+from enum import Enum
+
+import msgspec
+from nutmegdrum_coord.clock import ElapsedMs
+from nutmegdrum_coord.ids import BackendId, DataCentre, ServiceName, VmId
+
+from nutmegdrum.messages import LoadedVersion, LoadReport
+from nutmegdrum.settings import BackendSettings
+from nutmegdrum.units import Address
+
+REPORT_AGE_MS = 5_000
+"""Age at which a load report says nothing about the present any more, in ms."""
+
+
+class VmKind(Enum):
+    """What runs on a VM of the live list."""
+
+    ENTRY = "entry"
+    BACKEND = "backend"
+
+
+class VmState(Enum):
+    """State of a VM on the live list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ListedVm(msgspec.Struct, frozen=True, kw_only=True):
+    """One VM of the platform's live list."""
+
+    id: VmId
+    address: str
+    kind: VmKind
+    state: VmState
+    data_centre: DataCentre = DataCentre("")
+    service: ServiceName = ServiceName("")
+
+
+class LiveList(msgspec.Struct, frozen=True, kw_only=True):
+    """The platform's list of VMs, which lags."""
+
+    sequence: int
+    vms: list[ListedVm] = []
+
+
+class FleetMember(msgspec.Struct, kw_only=True):
+    """One backend server and the newest that is known of it.
+
+    Attributes
+    ----------
+    listed : bool
+        Whether the live list has ever shown it.
+    gone : bool
+        Whether the live list has shown it and shows it no more.
+    """
+
+    cfg: BackendSettings
+    listed: bool = False
+    leaving: bool = False
+    gone: bool = False
+    report: LoadReport | None = None
+    reported_ms: ElapsedMs = ElapsedMs(0)
+
+    @property
+    def loaded(self) -> list[LoadedVersion]:
+        """Return the versions that the newest report shows in memory."""
+        return [] if self.report is None else self.report.loaded
+
+    def reachable(self, now_ms: ElapsedMs) -> bool:
+        """Return whether the newest load report is recent."""
+        return self.report is not None and now_ms - self.reported_ms <= REPORT_AGE_MS
+
+
+class Fleet:
+    """Backend servers by id.
+
+    Parameters
+    ----------
+    backends : sequence of BackendSettings
+        Backend servers that are known from the start.
+    """
+
+    def __init__(self, backends: Sequence[BackendSettings]):
+        self.members = {cfg.id: FleetMember(cfg=cfg) for cfg in backends}
+        self.entry_vms: dict[VmId, ListedVm] = {}
+        self._sequence = -1
+
+    def on_live_list(self, live: LiveList) -> None:
+        """Take in a live list, unless a newer one is known."""
+        if live.sequence < self._sequence:
+            return
+        self._sequence = live.sequence
+        backends = {BackendId(vm.id): vm for vm in live.vms if vm.kind is VmKind.BACKEND}
+        self.entry_vms = {vm.id: vm for vm in live.vms if vm.kind is VmKind.ENTRY}
+        for backend, vm in backends.items():
+            member = self.members.get(backend) or self._add(backend, vm)
+            member.listed = True
+            member.gone = False
+            member.leaving = vm.state is VmState.LEAVING
+        for backend, member in self.members.items():
+            if member.listed and backend not in backends:
+                member.gone = True
+
+    def on_load_report(self, now_ms: ElapsedMs, backend: BackendId, report: LoadReport) -> None:
+        """Take in a load report, unless the same or a newer one is known.
+
+        A lower sequence number after a silence is that of a backend server that restarted.
+        """
+        member = self.members.get(backend)
+        if member is None:
+            return
+        older = member.report is not None and report.sequence < member.report.sequence
+        if older and member.reachable(now_ms):
+            return
+        member.report = report
+        member.reported_ms = now_ms
+
+    def serving(self, service: ServiceName) -> list[FleetMember]:
+        """Return the backend servers of `service` that stay, in the order of their ids."""
+        return [
+            member
+            for _, member in sorted(self.members.items())
+            if member.cfg.service == service and not (member.leaving or member.gone)
+        ]
+
+    def _add(self, backend: BackendId, vm: ListedVm) -> FleetMember:
+        cfg = BackendSettings(
+            id=backend,
+            address=Address(vm.address),
+            service=vm.service,
+            data_centre=vm.data_centre,
+            checks_fencing=False,
+        )
+        self.members[backend] = FleetMember(cfg=cfg)
+        return self.members[backend]
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/orders.py
@@ -0,0 +1,135 @@
+"""Replicated intents of orders to backend servers."""
+
+from collections.abc import Sequence
+from enum import Enum
+from typing import Any
+
+import msgspec
+from nutmegdrum_coord.clock import LogMs
+from nutmegdrum_coord.ids import BackendId, FencingNumber, OrderId
+from nutmegdrum_coord.parts import Answer, Command, Context
+
+from nutmegdrum.messages import LoadedVersion, Order, OrderKind
+
+
+class OrderOutcome(Enum):
+    """How an order ended."""
+
+    DONE = "done"
+    STALE = "stale"
+    EXPIRED = "expired"
+    FAILED = "failed"
+    ABANDONED = "abandoned"
+
+
+class OpenOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """Order that may be under way to, or running on, a backend server."""
+
+    order: Order
+    backend: BackendId
+    at: LogMs
+
+
+class IntendOrder(Command, frozen=True, kw_only=True):
+    """Record an order before it is sent."""
+
+    backend: BackendId
+    order: Order
+
+
+class CloseOrder(Command, frozen=True, kw_only=True):
+    """Record that an order cannot take effect any more, or has."""
+
+    backend: BackendId
+    order: OrderId
+    outcome: OrderOutcome
+
+
+class OrderIntended(Answer, frozen=True, kw_only=True):
+    """The order may be sent."""
+
+    order: OrderId
+
+
+class OrderRefused(Answer, frozen=True, kw_only=True):
+    """The order must not be sent: another is open, or its fencing number is old."""
+
+    order: OrderId
+    why: str
+
+
+class OrderClosed(Answer, frozen=True, kw_only=True):
+    """The order is not open (any more)."""
+
+    order: OrderId
+
+
+class _State(msgspec.Struct):
+    open: list[OpenOrder]
+    fencing: FencingNumber
+
+
+class Orders:
+    """Part of the replicated state that keeps at most one open order a backend server."""
+
+    name = "orders"
+    commands: Sequence[type[Command]] = (IntendOrder, CloseOrder)
+
+    def __init__(self) -> None:
+        self.open: dict[BackendId, OpenOrder] = {}
+        self.fencing = FencingNumber(0)
+
+    def apply(self, ctx: Context, command: Any) -> Answer:
+        """Apply one of the part's commands."""
+        if isinstance(command, IntendOrder):
+            return self._intend(ctx, command)
+        return self._close(ctx, command)
+
+    def snapshot(self) -> Any:
+        """Return the open orders and the highest fencing number."""
+        return _State(open=list(self.open.values()), fencing=self.fencing)
+
+    def restore(self, state: bytes) -> None:
+        """Replace the open orders by the encoded ones."""
+        decoded = msgspec.msgpack.decode(state, type=_State)
+        self.open = {entry.backend: entry for entry in decoded.open}
+        self.fencing = decoded.fencing
+
+    def _intend(self, ctx: Context, command: IntendOrder) -> Answer:
+        order = command.order
+        if order.fencing < self.fencing:
+            return OrderRefused(order=order.id, why="fencing number is old")
+        standing = self.open.get(command.backend)
+        if standing is not None and standing.order.id != order.id:
+            return OrderRefused(order=order.id, why=f"order {standing.order.id} is open")
+        self.fencing = order.fencing
+        self.open[command.backend] = OpenOrder(order=order, backend=command.backend, at=ctx.at)
+        ctx.audit("order intended", command.backend, order=order.id, what=describe(order))
+        return OrderIntended(order=order.id)
+
+    def _close(self, ctx: Context, command: CloseOrder) -> Answer:
+        standing = self.open.get(command.backend)
+        if standing is not None and standing.order.id == command.order:
+            del self.open[command.backend]
+            ctx.audit(
+                "order closed",
+                command.backend,
+                order=command.order,
+                outcome=command.outcome.value,
+            )
+        return OrderClosed(order=command.order)
+
+
+def describe(order: Order) -> str:
+    """Return what `order` asks for, in a few words."""
+    if order.kind is OrderKind.ROLE:
+        return f"role {order.role}"
+    return f"{order.kind.value} {format_version(order.version)}"
+
+
+def format_version(version: LoadedVersion | None) -> str:
+    """Return `version` as `model@version` or `model@version+adapter`."""
+    if version is None:
+        return ""
+    adapter = f"+{version.adapter}" if version.adapter else ""
+    return f"{version.model}@{version.version}{adapter}"
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/schedule.py
@@ -0,0 +1,118 @@
+"""When moves may start, step and end, and when they will be late."""
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from nutmegdrum_coord.clock import LogMs, WallMs
+from nutmegdrum_coord.ids import ModelName, VersionName
+
+from nutmegdrum.moves import Move, MoveKind, MoveState
+from nutmegdrum.placement import Load
+from nutmegdrum.settings import MoveSettings
+from nutmegdrum.view import PPM
+
+LOW_SHARE_PPM = PPM // 10
+"""Largest share at which a version bakes while its complete-by time allows it."""
+
+MARGIN_MS = 5_000
+"""Time that is kept free before a complete-by time, in ms."""
+
+MS_PER_S = 1_000
+
+
+class Weights(NamedTuple):
+    """Size of a version's weights in bytes, and the weight store's rate in bytes a second."""
+
+    size_bytes: int
+    rate_bytes_per_s: int
+
+
+class Times(NamedTuple):
+    """Log time and wall time of one decision, in ms."""
+
+    log_ms: LogMs
+    wall_ms: WallMs
+
+
+WeightsOf = Callable[[ModelName, VersionName], Weights | None]
+
+
+def load_time_ms(loads: Sequence[Load], weights_of: WeightsOf) -> int:
+    """Return the time that the weight store needs for `loads`, in ms; 0 where unknown.
+
+    Loads share the store's rate, so the sum holds however many run at a time.
+    """
+    total_ms = 0
+    for load in loads:
+        weights = weights_of(load.version.model, load.version.version)
+        if weights is not None and not load.version.adapter:
+            total_ms += weights.size_bytes * MS_PER_S // max(1, weights.rate_bytes_per_s)
+    return total_ms
+
+
+def loads_up_to(loads: Sequence[Load], move: Move) -> list[Load]:
+    """Return the loads that earliest deadline first puts before, or counts to, `move`."""
+    return [load for load in loads if load.complete_by <= move.complete_by]
+
+
+def steps_left_ms(move: Move, cfg: MoveSettings) -> int:
+    """Return the shortest time in ms from the end of this step to the complete-by state."""
+    if move.kind is not MoveKind.CHANGE or move.state is MoveState.BAKING:
+        return 0
+    steps = len(move.share_steps) - 1
+    done = move.step + 1 if move.state is MoveState.TRIAL else 0
+    return max(0, steps - done) * cfg.step_time
+
+
+def step_over(move: Move, times: Times, cfg: MoveSettings, load_ms: int, shown: bool) -> bool:
+    """Return whether a trial's step has lasted long enough.
+
+    The step at a low share lasts on as long as the complete-by time allows, up to the bake
+    time, and any step without enough requests (`shown` false) does.
+
+    Parameters
+    ----------
+    load_ms : int
+        Time for the loads that later steps need, in ms.
+    """
+    lasted_ms = times.log_ms - move.since
+    if lasted_ms < cfg.step_time:
+        return False
+    spare_ms = move.complete_by - times.wall_ms - steps_left_ms(move, cfg) - load_ms - MARGIN_MS
+    if spare_ms <= 0:
+        return True
+    if not shown:
+        return False
+    baking = _bakes_here(move) and lasted_ms < _bake_time_ms(move, cfg)
+    return not baking
+
+
+def bake_over(move: Move, times: Times, cfg: MoveSettings) -> bool:
+    """Return whether a version has been watched long enough with all traffic."""
+    return times.log_ms - move.since >= _bake_time_ms(move, cfg)
+
+
+def predicted_late(move: Move, times: Times, cfg: MoveSettings, load_ms: int) -> WallMs | None:
+    """Return when `move` will be complete if that is after its time, else None.
+
+    Parameters
+    ----------
+    load_ms : int
+        Time for the loads up to and of this move, in ms.
+    """
+    if move.completed is not None:
+        return None
+    stepping_ms = 0
+    if move.state is MoveState.TRIAL:
+        stepping_ms = max(0, cfg.step_time - (times.log_ms - move.since))
+    predicted = times.wall_ms + load_ms + stepping_ms + steps_left_ms(move, cfg)
+    return WallMs(predicted) if predicted > move.complete_by else None
+
+
+def _bakes_here(move: Move) -> bool:
+    low = [i for i, share in enumerate(move.share_steps[:-1]) if share <= LOW_SHARE_PPM]
+    return move.step == max(low, default=0)
+
+
+def _bake_time_ms(move: Move, cfg: MoveSettings) -> int:
+    return cfg.bake_time if move.bake_time_ms is None else move.bake_time_ms
--- a/packages/kernel/src/nutmegdrum/view.py
+++ b/packages/kernel/src/nutmegdrum/view.py
@@ -2,6 +2,7 @@
 
 import msgspec
 from nutmegdrum_coord.ids import (
+    AdapterName,
     BackendId,
     DataCentre,
     Fingerprint,
@@ -40,12 +41,21 @@
 
 
 class ModelView(msgspec.Struct, frozen=True, kw_only=True):
-    """Versions of one model (or of one plain service) that may get traffic."""
+    """Versions of one model (or of one plain service) that may get traffic.
+
+    Attributes
+    ----------
+    settled : VersionName
+        Version that is always safe; empty for a plain service that no note has changed.
+    adapters : list of AdapterName
+        Adapters that callers may name.
+    """
 
     name: ModelName
     service: ServiceName
     settled: VersionName
     trial: TrialView | None = None
+    adapters: list[AdapterName] = []
 
 
 class BackendView(msgspec.Struct, frozen=True, kw_only=True):
@@ -114,6 +124,22 @@
     streams: int
 
 
+class VersionUse(msgspec.Struct, frozen=True, kw_only=True):
+    """Number of requests that one entry VM has running on a version, with an adapter or none."""
+
+    version: LoadedVersion
+    running: int
+
+
+class TrialTrip(msgspec.Struct, frozen=True, kw_only=True):
+    """Trial that an entry VM stopped by itself, and the fault that it saw."""
+
+    model: ModelName
+    version: VersionName
+    route: RouteName
+    why: str
+
+
 class HeartbeatReport(msgspec.Struct, frozen=True, kw_only=True):
     """Periodic report of an entry VM.
 
@@ -125,6 +151,10 @@
         Backend servers that this VM lost contact with.
     suspects : list of Fingerprint
         Requests whose isolated attempt crashed a backend server.
+    running : list of VersionUse or None
+        Requests running here by version; None if this VM does not count them.
+    trips : list of TrialTrip
+        Trials that this VM stopped since the last report.
     """
 
     vm: VmId
@@ -136,6 +166,8 @@
     suspects: list[Fingerprint] = []
     samples: list[RouteSample] = []
     use: list[WorkspaceUse] = []
+    running: list[VersionUse] | None = None
+    trips: list[TrialTrip] = []
 
 
 class HeartbeatAnswer(msgspec.Struct, frozen=True, kw_only=True):
