--- a/packages/kernel/src/nutmegdrum/messages.py
+++ b/packages/kernel/src/nutmegdrum/messages.py
@@ -78,6 +78,8 @@
     SILENT = "silent"
     TRUNCATED = "truncated"
     ERROR = "error"
+    BUSY = "busy"
+    NOT_LOADED = "not-loaded"
 
 
 class BackendLost(Exception):
--- /dev/null
+++ b/packages/plugins/src/nutmegdrum_plugins/http_engine.py
@@ -0,0 +1,382 @@
+"""HTTP interface to backend servers, over urllib3 connections.
+
+Each exchange has a connection to itself. A connection goes back to the pool only after its
+response was read to the end, so bytes of an abandoned exchange never reach another one.
+"""
+
+import socket
+import threading
+from collections import defaultdict, deque
+from typing import Any
+
+import msgspec
+from nutmegdrum.backends import TokenSource
+from nutmegdrum.messages import (
+    BackendLost,
+    CacheEvent,
+    EngineCall,
+    Finish,
+    FinishReason,
+    LoadReport,
+    LossKind,
+    Order,
+    OrderStatus,
+    Token,
+)
+from nutmegdrum.plugins import Kind, Plugin, Registry
+from nutmegdrum.settings import BackendSettings
+from nutmegdrum.units import Address
+from nutmegdrum_coord.ids import BackendId, GenerationId
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+
+NAME = "http"
+_JSON_HEADERS = {"Content-Type": "application/json"}
+_MAX_IDLE_CONNECTIONS = 64
+_DRAIN_TIMEOUT_MS = 100
+_CANCEL_TIMEOUT_MS = 500
+_READ_BYTES = 1 << 16
+_MS_PER_S = 1_000
+_REFUSALS = {404: LossKind.NOT_LOADED, 429: LossKind.BUSY}
+
+
+class _Line(msgspec.Struct, gc=False):
+    """One line of a generation's body."""
+
+    index: int = -1
+    text: str = ""
+    finish: FinishReason | None = None
+    count: int = 0
+
+
+class _CacheEvents(msgspec.Struct):
+    events: list[CacheEvent]
+
+
+class _OrderAnswer(msgspec.Struct):
+    status: OrderStatus
+
+
+_encoder = msgspec.json.Encoder()
+_lines = msgspec.json.Decoder(_Line)
+_loads = msgspec.json.Decoder(LoadReport)
+_cache_events = msgspec.json.Decoder(_CacheEvents)
+_order_answers = msgspec.json.Decoder(_OrderAnswer)
+
+
+class ConnectionPool:
+    """Idle connections by address, newest first."""
+
+    def __init__(self) -> None:
+        self._idle: dict[Address, deque[HTTPConnection]] = defaultdict(deque)
+        self._lock = threading.Lock()
+
+    def take(self, address: Address) -> HTTPConnection | None:
+        """Return an idle connection that its peer has not closed, or None."""
+        while True:
+            with self._lock:
+                idle = self._idle[address]
+                conn = idle.pop() if idle else None
+            if conn is None or conn.is_connected:
+                return conn
+            conn.close()
+
+    def give_back(self, address: Address, conn: HTTPConnection) -> None:
+        """Keep a connection whose last response was read to the end."""
+        with self._lock:
+            idle = self._idle[address]
+            idle.append(conn)
+            surplus = idle.popleft() if len(idle) > _MAX_IDLE_CONNECTIONS else None
+        if surplus is not None:
+            surplus.close()
+
+
+class _Exchange:
+    """One request and its response on one connection."""
+
+    def __init__(self, pool: ConnectionPool, backend: BackendSettings, connect_ms: int):
+        self._pool = pool
+        self._backend = backend
+        self._connect_ms = connect_ms
+        self._conn: HTTPConnection | None = None
+        self._sock: socket.socket | None = None
+        self._response: Any = None
+        self._reused = False
+        self._request: tuple[str, str, bytes | None] = ("", "", None)
+        self._timeout_ms = 0
+
+    def send(self, method: str, path: str, body: bytes | None) -> None:
+        """Connect if needed and send the request."""
+        self._request = (method, path, body)
+        self._conn = self._pool.take(self._backend.address)
+        self._reused = self._conn is not None
+        if self._conn is None:
+            self._connect()
+        try:
+            self._send()
+        except (HTTPError, OSError) as exc:
+            if not self._reused:
+                raise self.lost(exc) from exc
+            self._resend(exc)
+
+    def _connect(self) -> None:
+        address = self._backend.address
+        conn = HTTPConnection(
+            address.host,
+            address.port,
+            timeout=self._connect_ms / _MS_PER_S,
+            socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)],
+        )
+        self._conn = conn
+        try:
+            conn.connect()
+        except (HTTPError, OSError) as exc:
+            raise self.lost(exc, sent=False) from exc
+
+    def _send(self) -> None:
+        assert self._conn is not None
+        method, path, body = self._request
+        self._sock = self._conn.sock
+        self._timeout_ms = 0
+        self._conn.request(method, path, body=body, headers=_JSON_HEADERS, preload_content=False)
+
+    def _resend(self, cause: Exception) -> None:
+        """Send again on a new connection, since the idle one was closed meanwhile."""
+        self.abandon()
+        self._reused = False
+        self._connect()
+        try:
+            self._send()
+        except (HTTPError, OSError) as exc:
+            raise self.lost(exc) from cause
+
+    def response(self, timeout_ms: int) -> Any:
+        """Return the response once its headers are here."""
+        assert self._conn is not None
+        self.limit(timeout_ms)
+        try:
+            self._response = self._conn.getresponse()
+            return self._response
+        except (ConnectionError, HTTPError) as exc:
+            if not self._reused:
+                raise self.lost(exc) from exc
+            self._resend(exc)
+            return self.response(timeout_ms)
+        except OSError as exc:
+            raise self.lost(exc) from exc
+
+    def limit(self, timeout_ms: int) -> None:
+        """Let each read wait `timeout_ms` at most."""
+        if timeout_ms != self._timeout_ms and self._sock is not None:
+            self._sock.settimeout(max(timeout_ms, 1) / _MS_PER_S)
+            self._timeout_ms = timeout_ms
+
+    def keep(self) -> None:
+        """Give the connection back after the response was read to the end."""
+        conn, self._conn = self._conn, None
+        self._sock = None
+        if conn is not None and conn.sock is not None:
+            self._pool.give_back(self._backend.address, conn)
+
+    def abandon(self) -> None:
+        """Close the connection, also where the response holds it alone."""
+        conn, self._conn = self._conn, None
+        response, self._response = self._response, None
+        self._sock = None
+        if conn is not None:
+            conn.close()
+        if response is not None:
+            response.close()
+
+    def lost(self, exc: Exception, sent: bool = True) -> BackendLost:
+        """Close the connection and return the loss that `exc` shows."""
+        self.abandon()
+        return BackendLost(self._backend.id, _loss_kind(exc, sent), sent, type(exc).__name__)
+
+
+def _loss_kind(exc: Exception, sent: bool) -> LossKind:
+    if isinstance(exc, NewConnectionError):
+        return LossKind.REFUSED
+    if isinstance(exc, TimeoutError | ConnectTimeoutError | ReadTimeoutError):
+        return LossKind.SILENT
+    return LossKind.RESET if sent else LossKind.REFUSED
+
+
+class HttpTokenSource:
+    """Tokens of one attempt, read as they arrive."""
+
+    def __init__(self, exchange: _Exchange, backend: BackendId):
+        self._exchange = exchange
+        self._backend = backend
+        self._response: Any = None
+        self._partial = b""
+
+    def next(self, timeout_ms: int) -> list[Token | Finish]:
+        """Return the items that have arrived, at least one.
+
+        Raises
+        ------
+        BackendLost
+            After `timeout_ms` of silence, or when the exchange broke.
+        """
+        if self._response is None:
+            self._response = self._exchange.response(timeout_ms)
+            self._check_status()
+        self._exchange.limit(timeout_ms)
+        while True:
+            lines = self._read_lines()
+            if lines:
+                return self._decode(lines)
+
+    def _check_status(self) -> None:
+        status = self._response.status
+        if status == 200:
+            return
+        self.close()
+        kind = _REFUSALS.get(status, LossKind.ERROR)
+        raise BackendLost(self._backend, kind, True, f"status {status}")
+
+    def _read_lines(self) -> bytes:
+        try:
+            data = self._response.read1(_READ_BYTES)
+        except (HTTPError, OSError) as exc:
+            raise self._exchange.lost(exc) from exc
+        if not data:
+            self.close()
+            raise BackendLost(self._backend, LossKind.TRUNCATED, True, "no finish line")
+        lines, newline, self._partial = (self._partial + data).rpartition(b"\n")
+        return lines + newline
+
+    def _decode(self, lines: bytes) -> list[Token | Finish]:
+        items: list[Token | Finish] = []
+        try:
+            decoded = _lines.decode_lines(lines)
+        except msgspec.MsgspecError as exc:
+            self.close()
+            raise BackendLost(self._backend, LossKind.ERROR, True, str(exc)) from exc
+        for line in decoded:
+            if line.finish is None:
+                items.append(Token(line.index, line.text))
+                continue
+            items.append(Finish(line.finish, line.count))
+            self._drain()
+            break
+        return items
+
+    def _drain(self) -> None:
+        """Read the end of the body, so that the connection can serve another exchange."""
+        self._exchange.limit(_DRAIN_TIMEOUT_MS)
+        try:
+            rest = self._response.read1(_READ_BYTES)
+        except (HTTPError, OSError):
+            rest = b"cut"
+        if rest or self._partial:
+            self._exchange.abandon()
+        else:
+            self._exchange.keep()
+
+    def close(self) -> None:
+        """Abandon the exchange; its connection is not used again."""
+        self._exchange.abandon()
+
+
+class HttpEngineProtocol:
+    """Client of the HTTP interface to backend servers."""
+
+    def __init__(self) -> None:
+        self._pool = ConnectionPool()
+
+    def open(self, backend: BackendSettings, call: EngineCall, timeout_ms: int) -> TokenSource:
+        """Send one attempt, allowing `timeout_ms` to connect; the response is read later.
+
+        Raises
+        ------
+        BackendLost
+            If no connection was made or the request could not be sent.
+        """
+        exchange = _Exchange(self._pool, backend, timeout_ms)
+        exchange.send("POST", "/v1/generate", _encoder.encode(call))
+        return HttpTokenSource(exchange, backend.id)
+
+    def cancel(self, backend: BackendSettings, generation: GenerationId, attempt: int) -> None:
+        """Tell the backend server to stop an attempt; a lost one has stopped anyway."""
+        path = f"/v1/generate/{generation}/{attempt}"
+        try:
+            self._call(backend, "DELETE", path, None, _CANCEL_TIMEOUT_MS)
+        except BackendLost:
+            return
+
+    def load_report(self, backend: BackendSettings, timeout_ms: int) -> LoadReport:
+        """Read the load report.
+
+        Raises
+        ------
+        BackendLost
+            If it cannot be read.
+        """
+        body = self._call(backend, "GET", "/v1/load", None, timeout_ms)
+        return self._decode(backend, _loads, body)
+
+    def cache_events(
+        self, backend: BackendSettings, after: int, timeout_ms: int
+    ) -> list[CacheEvent]:
+        """Read the cache events after sequence number `after`.
+
+        Raises
+        ------
+        BackendLost
+            If they cannot be read.
+        """
+        body = self._call(backend, "GET", f"/v1/cache-events?after={after}", None, timeout_ms)
+        return self._decode(backend, _cache_events, body).events
+
+    def order(self, backend: BackendSettings, order: Order, timeout_ms: int) -> OrderStatus:
+        """Give an order.
+
+        Raises
+        ------
+        BackendLost
+            If no answer came; the order may have been taken.
+        """
+        body = self._call(backend, "POST", "/v1/orders", _encoder.encode(order), timeout_ms)
+        return self._decode(backend, _order_answers, body).status
+
+    def _call(
+        self,
+        backend: BackendSettings,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_ms: int,
+    ) -> bytes:
+        exchange = _Exchange(self._pool, backend, timeout_ms)
+        exchange.send(method, path, body)
+        response = exchange.response(timeout_ms)
+        try:
+            data = response.read()
+        except (HTTPError, OSError) as exc:
+            raise exchange.lost(exc) from exc
+        exchange.keep()
+        if response.status >= 400:
+            kind = _REFUSALS.get(response.status, LossKind.ERROR)
+            raise BackendLost(backend.id, kind, True, f"status {response.status}")
+        return data
+
+    def _decode(self, backend: BackendSettings, decoder: Any, body: bytes) -> Any:
+        try:
+            return decoder.decode(body)
+        except msgspec.MsgspecError as exc:
+            raise BackendLost(backend.id, LossKind.ERROR, True, str(exc)) from exc
+
+
+class HttpEnginePlugin(Plugin):
+    """Provides the HTTP interface to backend servers."""
+
+    def register(self, registry: Registry) -> None:
+        """Register the protocol under the name `http`."""
+        registry.provide(Kind.BACKEND_PROTOCOL, NAME, HttpEngineProtocol())
--- /dev/null
+++ b/packages/plugins/tests/test_http_engine.py
@@ -0,0 +1,204 @@
+import socket
+import threading
+
+import msgspec
+import pytest
+from nutmegdrum.messages import BackendLost, EngineCall, Finish, FinishReason, LossKind, Token
+from nutmegdrum.settings import BackendSettings
+from nutmegdrum.units import Address
+from nutmegdrum_coord.ids import (
+    BackendId,
+    DataCentre,
+    GenerationId,
+    ModelName,
+    ServiceName,
+    VersionName,
+)
+from nutmegdrum_plugins.http_engine import HttpEngineProtocol
+
+CALL = EngineCall(
+    generation=GenerationId("g"),
+    attempt=1,
+    model=ModelName("m"),
+    version=VersionName("1"),
+    prompt="p",
+    max_tokens=4,
+    seed=7,
+    temperature=1.0,
+)
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class Engine:
+    """Backend server that answers each request by the next script: bytes, or None to wait."""
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.requests = []
+        self.connections = 0
+        self.hold = threading.Event()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        address = Address(f"127.0.0.1:{self._listener.getsockname()[1]}")
+        self.settings = BackendSettings(
+            id=BackendId("b1"),
+            address=address,
+            service=ServiceName("s"),
+            data_centre=DataCentre("a"),
+        )
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn):
+        with conn, conn.makefile("rb") as reader:
+            while self.scripts and self._read_request(reader):
+                for part in self.scripts.pop(0):
+                    if part is None:
+                        self.hold.wait()
+                    elif part == b"close":
+                        return
+                    else:
+                        conn.sendall(part)
+
+    def _read_request(self, reader):
+        line = reader.readline()
+        if not line:
+            return False
+        size = 0
+        while (header := reader.readline()) not in (b"\r\n", b""):
+            name, _, value = header.partition(b":")
+            if name.lower() == b"content-length":
+                size = int(value)
+        self.requests.append((line.split()[0].decode(), reader.read(size)))
+        return True
+
+    def close(self):
+        self.hold.set()
+        self._listener.close()
+
+
+@pytest.fixture
+def engines():
+    made = []
+
+    def make(*scripts):
+        made.append(Engine(*scripts))
+        return made[-1]
+
+    yield make
+    for engine in made:
+        engine.close()
+
+
+def lines(*texts, finish=True, first=0):
+    parts = [HEAD]
+    for index, text in enumerate(texts, first):
+        parts.append(chunk(msgspec.json.encode({"index": index, "text": text}) + b"\n"))
+    if finish:
+        last = {"finish": "stop", "count": first + len(texts)}
+        parts += [chunk(msgspec.json.encode(last) + b"\n"), b"0\r\n\r\n"]
+    return parts
+
+
+def read_all(source, timeout_ms=2_000):
+    items = []
+    while not items or not isinstance(items[-1], Finish):
+        items += source.next(timeout_ms)
+    return items
+
+
+class TestTokens:
+    def test_yields_tokens_and_finish_in_order(self, engines):
+        engine = engines(lines("a", "b"))
+        source = HttpEngineProtocol().open(engine.settings, CALL, 1_000)
+        assert read_all(source) == [Token(0, "a"), Token(1, "b"), Finish(FinishReason.STOP, 2)]
+        method, body = engine.requests[0]
+        assert method == "POST"
+        assert msgspec.json.decode(body, type=EngineCall) == CALL
+
+    def test_joins_a_line_that_came_in_two_chunks(self, engines):
+        whole = b'{"index":0,"text":"a"}\n{"finish":"stop","count":1}\n'
+        engine = engines([HEAD, chunk(whole[:9]), chunk(whole[9:]), b"0\r\n\r\n"])
+        source = HttpEngineProtocol().open(engine.settings, CALL, 1_000)
+        assert read_all(source) == [Token(0, "a"), Finish(FinishReason.STOP, 1)]
+
+
+class TestConnections:
+    def test_reuses_the_connection_of_a_finished_exchange(self, engines):
+        engine = engines(lines("a"), lines("b"))
+        protocol = HttpEngineProtocol()
+        read_all(protocol.open(engine.settings, CALL, 1_000))
+        read_all(protocol.open(engine.settings, CALL, 1_000))
+        assert engine.connections == 1
+
+    def test_never_reuses_the_connection_of_an_abandoned_exchange(self, engines):
+        engine = engines(lines("a", finish=False) + [None], lines("b"))
+        protocol = HttpEngineProtocol()
+        source = protocol.open(engine.settings, CALL, 1_000)
+        source.next(2_000)
+        source.close()
+        assert read_all(protocol.open(engine.settings, CALL, 1_000))[0] == Token(0, "b")
+        assert engine.connections == 2
+
+    def test_resends_when_an_idle_connection_was_closed(self, engines):
+        engine = engines(lines("a") + [b"close"], lines("b"))
+        protocol = HttpEngineProtocol()
+        read_all(protocol.open(engine.settings, CALL, 1_000))
+        assert read_all(protocol.open(engine.settings, CALL, 1_000))[0] == Token(0, "b")
+
+
+class TestLosses:
+    def lose(self, settings, timeout_ms=2_000):
+        with pytest.raises(BackendLost) as raised:
+            read_all(HttpEngineProtocol().open(settings, CALL, 1_000), timeout_ms)
+        return raised.value.kind, raised.value.sent
+
+    def test_refused_connection_sent_nothing(self, engines):
+        engine = engines()
+        engine.close()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+        settings = msgspec.structs.replace(engine.settings, address=Address(f"127.0.0.1:{port}"))
+        assert self.lose(settings) == (LossKind.REFUSED, False)
+
+    def test_closed_connection_is_a_reset(self, engines):
+        assert self.lose(engines([b"close"]).settings) == (LossKind.RESET, True)
+
+    def test_connection_closed_in_mid_stream_is_a_reset(self, engines):
+        script = lines("a", finish=False) + [b"close"]
+        assert self.lose(engines(script).settings) == (LossKind.RESET, True)
+
+    def test_silence_before_the_headers(self, engines):
+        assert self.lose(engines([None]).settings, 50) == (LossKind.SILENT, True)
+
+    def test_silence_between_tokens(self, engines):
+        script = lines("a", finish=False) + [None]
+        assert self.lose(engines(script).settings, 200) == (LossKind.SILENT, True)
+
+    def test_body_without_a_finish_line_is_truncated(self, engines):
+        script = lines("a", finish=False) + [b"0\r\n\r\n"]
+        assert self.lose(engines(script).settings) == (LossKind.TRUNCATED, True)
+
+    @pytest.mark.parametrize(
+        ("status", "kind"),
+        [(404, LossKind.NOT_LOADED), (429, LossKind.BUSY), (500, LossKind.ERROR)],
+    )
+    def test_error_status(self, engines, status, kind):
+        script = [b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status]
+        assert self.lose(engines(script).settings) == (kind, True)
+
+    def test_malformed_line(self, engines):
+        assert self.lose(engines([HEAD, chunk(b"{]\n")]).settings) == (LossKind.ERROR, True)
