--- a/packages/kernel/src/nutmegdrum/daemon.py
+++ b/packages/kernel/src/nutmegdrum/daemon.py
@@ -52,16 +52,16 @@
         self._clock = SystemClock()
         self._rng = random.Random(random.SystemRandom().getrandbits(64))
         self._rpc = RpcClient(Sender(cfg.deployment, cfg.vm.id, self._incarnation))
-        self._registry = load_plugins(cfg.plugins, cfg.plugin_settings)
-        self.state = self._state_role()
-        self.entry = self._entry_role(self._registry)
+        registry = load_plugins(cfg.plugins, cfg.plugin_settings)
+        self.state = self._state_role(registry)
+        self.entry = self._entry_role(registry)
         self._servers = self._rpc_servers()
         self._ops = OpsListener(cfg.listen.ops, self.not_ready)
 
-    def _state_role(self) -> StateRole | None:
+    def _state_role(self, registry: Registry) -> StateRole | None:
         if Role.STATE not in self.cfg.roles:
             return None
-        return StateRole(self.cfg, self._clock, self._rng, self._rpc)
+        return StateRole(self.cfg, self._clock, self._rng, self._rpc, registry)
 
     def _entry_role(self, registry: Registry) -> EntryRole | None:
         if Role.ENTRY not in self.cfg.roles:
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -2,10 +2,13 @@
 
 import random
 
+from nutmegdrum_coord.claims import ClaimAnswer
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import IncarnationId
+from nutmegdrum_coord.parts import Command, decode_answer, encode_command
 
 from nutmegdrum.admission import Admission
+from nutmegdrum.claimed_calls import ClaimWriter
 from nutmegdrum.gateway import Gateway
 from nutmegdrum.generations import Generations
 from nutmegdrum.heartbeat import Heartbeater
@@ -20,7 +23,8 @@
 from nutmegdrum.wsgi import HttpListener
 
 BACKEND_PROTOCOL = "http"
-DRAIN_POLL_S = 0.05
+CLAIM_TIMEOUT_MS = 2_000
+PLAIN_TICK_MS = 100
 
 
 class EntryRole:
@@ -53,9 +57,11 @@
         self.state = StateClient(rpc, cfg.state_replicas)
         relay = Relay(cfg, clock, rng, protocol, self.router.choose, registry)
         self.generations = Generations(clock, self.admission, relay, random.SystemRandom())
-        self.plain = PlainPath(cfg, clock, self.router, self.state)
+        claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim)
+        self.plain = PlainPath(cfg, clock, self.router, claims)
         self.heartbeater = Heartbeater(cfg, clock, self.state, self.router, incarnation)
         self._ticker = Ticker("heartbeat", cfg.control.heartbeat, self.heartbeater.beat)
+        self._plain_ticker = Ticker("plain", PLAIN_TICK_MS, self.plain.tick)
         self._listener = HttpListener(
             cfg.listen.callers,
             Gateway(self),
@@ -65,6 +71,10 @@
             max_headers=cfg.callers.max_headers,
         )
 
+    def _propose_claim(self, command: Command) -> ClaimAnswer:
+        encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
+        return decode_answer(self.state.propose(encoded, CLAIM_TIMEOUT_MS), ClaimAnswer)
+
     def start(self) -> None:
         """Open the callers' listener and start to report.
 
@@ -74,6 +84,7 @@
             If the address cannot be bound.
         """
         self._ticker.start()
+        self._plain_ticker.start()
         self._listener.start()
 
     def not_ready(self) -> str:
@@ -86,4 +97,5 @@
     def stop(self) -> None:
         """Close the callers' listener."""
         self._ticker.stop()
+        self._plain_ticker.stop()
         self._listener.stop()
--- a/packages/kernel/src/nutmegdrum/gateway.py
+++ b/packages/kernel/src/nutmegdrum/gateway.py
@@ -64,10 +64,21 @@
             generation = GenerationId(path.removeprefix(_GENERATIONS_PREFIX))
             self._entry.generations.cancel(workspace.id, generation)
             return Response(204).send(start_response)
+        return self._plain(workspace, headers, environ).send(start_response)
+
+    def _plain(
+        self, workspace: WorkspaceSettings, headers: dict[str, str], environ: Environ
+    ) -> Response:
+        path = environ["PATH_INFO"]
+        route = self._entry.plain.find_route(path)
+        if isinstance(route, v.Reason):
+            raise v.Refusal(route, detail=f"no route for {path}")
+        query = environ.get("QUERY_STRING", "")
+        target = f"{path}?{query}" if query else path
         reply = self._entry.plain.handle(
-            workspace, method, path, headers, environ.get("QUERY_STRING", ""), read_body(environ)
+            workspace.id, route, environ["REQUEST_METHOD"], target, headers, read_body(environ)
         )
-        return reply.send(start_response)
+        return Response(reply.status, reply.body, list(reply.headers.items()))
 
     def _complete(
         self,
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/platform.py
@@ -0,0 +1,51 @@
+"""Client of the platform: live list of VMs and weight store."""
+
+import msgspec
+import urllib3
+from nutmegdrum_coord.ids import ModelName, VersionName
+
+from nutmegdrum.fleet import LiveList
+from nutmegdrum.schedule import Weights
+from nutmegdrum.settings import PlatformSettings
+
+TIMEOUT_S = 2.0
+
+
+class _WeightsBody(msgspec.Struct):
+    bytes: int
+    rate_bytes_per_s: int
+
+
+class PlatformClient:
+    """Reads the platform's documents; None stands for no answer."""
+
+    def __init__(self, cfg: PlatformSettings):
+        self._address = cfg.live_list
+        self._http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+
+    def live_list(self) -> LiveList | None:
+        """Return the live list of VMs."""
+        body = self._get("/v1/vms")
+        return None if body is None else _decode(body, LiveList)
+
+    def weights(self, model: ModelName, version: VersionName) -> Weights | None:
+        """Return a version's size and the weight store's rate."""
+        body = self._get(f"/v1/weights/{model}/{version}")
+        found = None if body is None else _decode(body, _WeightsBody)
+        return None if found is None else Weights(found.bytes, found.rate_bytes_per_s)
+
+    def _get(self, path: str) -> bytes | None:
+        if self._address is None:
+            return None
+        try:
+            response = self._http.request("GET", f"http://{self._address}{path}")
+        except urllib3.exceptions.HTTPError:
+            return None
+        return response.data if response.status == 200 else None
+
+
+def _decode(body: bytes, kind: type) -> object:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError:
+        return None
--- a/packages/kernel/src/nutmegdrum/state_daemon.py
+++ b/packages/kernel/src/nutmegdrum/state_daemon.py
@@ -1,57 +1,34 @@
 """State role of a daemon: a replica of the log, and the leader's work."""
 
 import random
-import threading
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
 import msgspec
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.claims import Claims
-from nutmegdrum_coord.clock import Clock, LogMs
-from nutmegdrum_coord.ids import CommandId, LogPosition, VmId
+from nutmegdrum_coord.clock import Clock
+from nutmegdrum_coord.ids import CommandId, VmId
 from nutmegdrum_coord.parts import PartedState, encode_command
 
 from nutmegdrum.leader_actor import LeaderActor
 from nutmegdrum.lognode import LogNode
 from nutmegdrum.orders import Orders
-from nutmegdrum.plugins import Registry
+from nutmegdrum.plugins import Kind, Registry
 from nutmegdrum.quarantine import Quarantine
 from nutmegdrum.queries import decode_query, encode_query
 from nutmegdrum.releases import Releases, SubmitNote
 from nutmegdrum.reports import answer_query
 from nutmegdrum.rpc import RpcClient
 from nutmegdrum.settings import ServiceKind, Settings
+from nutmegdrum.shared_state import SharedState
 from nutmegdrum.state_client import RETRY_AFTER_NO_QUORUM_MS
 from nutmegdrum.ticker import Ticker
 from nutmegdrum.view import HeartbeatReport
 
 PROPOSE_TIMEOUT_S = 3.0
 LEADER_TICK_MS = 100
-
-
-class SharedState:
-    """State machine under a lock, so that queries can read it while the log applies commands."""
-
-    def __init__(self, state: PartedState):
-        self.lock = threading.RLock()
-        self.state = state
-        self.log_ms = LogMs(0)
-
-    def apply(self, position: LogPosition, at: LogMs, command: bytes) -> bytes:
-        """Apply one committed command."""
-        with self.lock:
-            self.log_ms = at
-            return self.state.apply(position, at, command)
-
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
-        with self.lock:
-            return self.state.snapshot()
-
-    def restore(self, snapshot: bytes) -> None:
-        """Replace the whole state."""
-        with self.lock:
-            self.state.restore(snapshot)
+BACKEND_PROTOCOL = "http"
+ROLLOUT_JUDGE = "sequential"
 
 
 class RpcLogTransport:
@@ -95,9 +72,13 @@
     ):
         self.cfg = cfg
         self._clock = clock
-        self._shared = SharedState(replicated_state(cfg))
+        self._shared = SharedState(replicated_state(cfg), clock)
         self._log = LogNode(cfg, clock, rng, self._shared, RpcLogTransport(cfg, rpc))
-        self._actor = LeaderActor.start(cfg, clock, rng, self._shared, self._log, registry)
+        protocol = registry.get(Kind.BACKEND_PROTOCOL, BACKEND_PROTOCOL)
+        judges = registry.get(Kind.ROLLOUT_JUDGE, ROLLOUT_JUDGE)
+        self._actor = LeaderActor.start(
+            cfg, clock, rng, self._shared, self._log, protocol, judges
+        )
         self._leader = self._actor.proxy()
         self._ticker = Ticker("leader", LEADER_TICK_MS, self._tick)
 
