--- /dev/null
+++ b/packages/coord/src/nutmegdrum_coord/quarantine.py
@@ -0,0 +1,246 @@
+"""Replicated suspicion and quarantine of requests that crash backend servers."""
+
+from collections import OrderedDict
+from typing import Any
+
+import msgspec
+
+from nutmegdrum_coord.clock import LogMs
+from nutmegdrum_coord.ids import BackendId, Fingerprint, VmId
+from nutmegdrum_coord.parts import Answer, Command, Context
+
+SUSPICION_MS = 600_000
+QUARANTINE_MS = 3_600_000
+TRY_MS = 5_000
+SAME_CRASH_MS = 5_000
+MAX_SUSPECTS = 10_000
+MAX_QUARANTINES = 10_000
+FEW_TOKENS = 2
+MAX_CRASHES = 4
+
+
+class ReportCrash(Command):
+    """Say that a backend server died while it ran a request.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens that this attempt yielded before.
+    """
+
+    fingerprint: Fingerprint
+    vm: VmId
+    backend: BackendId
+    tokens: int = 0
+
+
+class ReserveTry(Command):
+    """Ask to run a suspect on a backend server that runs no other suspect."""
+
+    fingerprint: Fingerprint
+    vm: VmId
+    backend: BackendId
+
+
+class EndTry(Command):
+    """Say that a suspect's try went well, which clears it, or was given up.
+
+    Attributes
+    ----------
+    cleared : bool
+        Whether the request got past the point at which its last backend server died.
+    """
+
+    fingerprint: Fingerprint
+    vm: VmId
+    cleared: bool
+
+
+class SuspectNoted(Answer):
+    """The request is a suspect, or is none any more."""
+
+
+class TryGranted(Answer):
+    """The backend server is kept free of other suspects for this try."""
+
+
+class TryBusy(Answer):
+    """Another suspect is tried there, or this one elsewhere.
+
+    Attributes
+    ----------
+    here : bool
+        Whether another backend server may be free.
+    """
+
+    here: bool
+
+
+class Quarantined(Answer):
+    """The request is refused from now on.
+
+    Attributes
+    ----------
+    remaining_ms : int
+        Time until the quarantine ends, in ms.
+    """
+
+    remaining_ms: int
+
+
+QuarantineAnswer = SuspectNoted | TryGranted | TryBusy | Quarantined
+
+
+class _Crash(msgspec.Struct, frozen=True):
+    backend: BackendId
+    tokens: int
+    at: LogMs
+
+
+class _Try(msgspec.Struct, frozen=True):
+    fingerprint: Fingerprint
+    vm: VmId
+    until: LogMs
+
+
+class _Snapshot(msgspec.Struct):
+    crashes: list[tuple[Fingerprint, list[_Crash]]]
+    tries: dict[BackendId, _Try]
+    quarantines: list[tuple[Fingerprint, LogMs]]
+
+
+class Quarantine:
+    """Part of the replicated state that finds and holds crashing requests.
+
+    All that a backend server ran when it died are suspects. Each suspect's next try reserves a
+    backend server for itself, over all entry VMs, so that a second death there names the culprit.
+    A try that gets past the point of the last crash clears its request.
+
+    Parameters
+    ----------
+    quarantine_ms : int
+        Length of a quarantine, in ms of the log's time.
+    """
+
+    name = "quarantine"
+    commands = (ReportCrash, ReserveTry, EndTry)
+
+    def __init__(self, quarantine_ms: int = QUARANTINE_MS):
+        self._quarantine_ms = quarantine_ms
+        self._crashes: OrderedDict[Fingerprint, list[_Crash]] = OrderedDict()
+        self._tries: dict[BackendId, _Try] = {}
+        self._quarantines: OrderedDict[Fingerprint, LogMs] = OrderedDict()
+
+    def apply(self, ctx: Context, command: Any) -> QuarantineAnswer:
+        """Apply one command and return its answer."""
+        self._expire(ctx)
+        until = self._quarantines.get(command.fingerprint)
+        if until is not None:
+            return Quarantined(remaining_ms=until - ctx.at)
+        if isinstance(command, ReportCrash):
+            return self._report(ctx, command)
+        if isinstance(command, ReserveTry):
+            return self._reserve(ctx.at, command)
+        return self._end(command)
+
+    def suspects(self, at: LogMs) -> list[Fingerprint]:
+        """Return the requests under suspicion at log time `at`."""
+        return [f for f, crashes in self._crashes.items() if at - crashes[-1].at < SUSPICION_MS]
+
+    def quarantines(self, at: LogMs) -> dict[Fingerprint, int]:
+        """Return the requests in quarantine at log time `at`, with the remaining time in ms."""
+        return {f: until - at for f, until in self._quarantines.items() if until > at}
+
+    def snapshot(self) -> _Snapshot:
+        """Return the whole state."""
+        return _Snapshot(
+            crashes=list(self._crashes.items()),
+            tries=self._tries,
+            quarantines=list(self._quarantines.items()),
+        )
+
+    def restore(self, state: bytes) -> None:
+        """Replace the whole state."""
+        snapshot = msgspec.msgpack.decode(state, type=_Snapshot)
+        self._crashes = OrderedDict(snapshot.crashes)
+        self._tries = snapshot.tries
+        self._quarantines = OrderedDict(snapshot.quarantines)
+
+    def _report(self, ctx: Context, command: ReportCrash) -> QuarantineAnswer:
+        crash = _Crash(command.backend, command.tokens, ctx.at)
+        earlier = self._crashes.pop(command.fingerprint, [])
+        if any(_same(crash, other) for other in earlier):
+            self._crashes[command.fingerprint] = earlier
+            return SuspectNoted()
+        isolated = self._isolated(command)
+        self._drop_tries(command.fingerprint)
+        crashes = [*earlier, crash]
+        if earlier and isolated and _is_culprit(crashes):
+            return self._quarantine(ctx, command, crashes)
+        self._crashes[command.fingerprint] = crashes
+        if len(self._crashes) > MAX_SUSPECTS:
+            self._crashes.popitem(last=False)
+        return SuspectNoted()
+
+    def _isolated(self, command: ReportCrash) -> bool:
+        reserved = self._tries.get(command.backend)
+        return reserved is not None and reserved.fingerprint == command.fingerprint
+
+    def _quarantine(
+        self, ctx: Context, command: ReportCrash, crashes: list[_Crash]
+    ) -> QuarantineAnswer:
+        self._quarantines[command.fingerprint] = LogMs(ctx.at + self._quarantine_ms)
+        if len(self._quarantines) > MAX_QUARANTINES:
+            self._quarantines.popitem(last=False)
+        backends = ", ".join(crash.backend for crash in crashes)
+        ctx.audit("request quarantined", command.fingerprint, crashed=backends)
+        return Quarantined(remaining_ms=self._quarantine_ms)
+
+    def _reserve(self, at: LogMs, command: ReserveTry) -> QuarantineAnswer:
+        for backend, other in self._tries.items():
+            mine = other.fingerprint == command.fingerprint
+            if mine and (other.vm, backend) != (command.vm, command.backend):
+                return TryBusy(here=False)
+            if backend == command.backend and not mine:
+                return TryBusy(here=True)
+        until = LogMs(at + TRY_MS)
+        self._tries[command.backend] = _Try(command.fingerprint, command.vm, until)
+        return TryGranted()
+
+    def _end(self, command: EndTry) -> QuarantineAnswer:
+        held = [t for t in self._tries.values() if t.fingerprint == command.fingerprint]
+        if all(t.vm == command.vm for t in held):
+            self._drop_tries(command.fingerprint)
+            if command.cleared:
+                self._crashes.pop(command.fingerprint, None)
+        return SuspectNoted()
+
+    def _drop_tries(self, fingerprint: Fingerprint) -> None:
+        self._tries = {b: t for b, t in self._tries.items() if t.fingerprint != fingerprint}
+
+    def _expire(self, ctx: Context) -> None:
+        self._tries = {b: t for b, t in self._tries.items() if t.until > ctx.at}
+        while self._crashes and ctx.at - self._oldest_crash().at >= SUSPICION_MS:
+            self._crashes.popitem(last=False)
+        while self._quarantines and next(iter(self._quarantines.values())) <= ctx.at:
+            fingerprint, _ = self._quarantines.popitem(last=False)
+            ctx.audit("quarantine ended", fingerprint)
+
+    def _oldest_crash(self) -> _Crash:
+        return next(iter(self._crashes.values()))[-1]
+
+
+def _same(crash: _Crash, other: _Crash) -> bool:
+    return crash.backend == other.backend and crash.at - other.at < SAME_CRASH_MS
+
+
+def _is_culprit(crashes: list[_Crash]) -> bool:
+    """Return whether the last crash came where an earlier one did.
+
+    A request that got further than before may just have met another failure. One that did so
+    again and again is named nevertheless.
+    """
+    last = crashes[-1]
+    if last.tokens <= FEW_TOKENS or len(crashes) >= MAX_CRASHES:
+        return True
+    return any(abs(last.tokens - crash.tokens) <= 1 for crash in crashes[:-1])
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/fingerprints.py
@@ -0,0 +1,17 @@
+"""Identity of a request by what it asks for, however often and wherever it is sent."""
+
+from hashlib import blake2b
+
+from nutmegdrum_coord.ids import Fingerprint, RouteName, WorkspaceId
+
+_FINGERPRINT_BYTES = 16
+_LENGTH_BYTES = 8
+
+
+def fingerprint(workspace: WorkspaceId, route: RouteName, body: bytes) -> Fingerprint:
+    """Return the fingerprint of a request."""
+    digest = blake2b(digest_size=_FINGERPRINT_BYTES)
+    for part in (workspace.encode(), route.encode(), body):
+        digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
+        digest.update(part)
+    return Fingerprint(digest.hexdigest())
--- a/packages/kernel/src/nutmegdrum/view.py
+++ b/packages/kernel/src/nutmegdrum/view.py
@@ -73,6 +73,8 @@
     ----------
     generation : int
         Number that rises with each change of the rest.
+    suspects : list of Fingerprint
+        Requests whose next attempt must be isolated.
     """
 
     position: LogPosition
@@ -81,6 +83,7 @@
     models: list[ModelView] = []
     backends: list[BackendView] = []
     quarantines: list[QuarantineView] = []
+    suspects: list[Fingerprint] = []
 
 
 class RouteSample(msgspec.Struct, frozen=True, kw_only=True):
