Add a first version of the replicated log

Cause: the state daemon needs a log to be wired on. Ruled out: trusting any non-empty folder, as an older copy of a disk would vote twice. Conclusion: three replicas form a cluster, apply commands and keep them over a restart of all.

--- /dev/null
+++ b/packages/coord/src/nutmegdrum_coord/logcore.py
@@ -0,0 +1,391 @@
+"""Consensus of one replica as a state machine without I/O.
+
+The shell passes in messages, proposals and the time, and carries out the effects: first it
+writes and syncs all saves of a batch, then it sends and applies. A message thus never says
+anything that the disk does not hold yet.
+"""
+
+import random
+from collections.abc import Callable, Collection
+from typing import Any
+
+from nutmegdrum_coord.election import Election, Phase
+from nutmegdrum_coord.following import Following
+from nutmegdrum_coord.ids import IncarnationId, LogPosition, Term, VmId
+from nutmegdrum_coord.joining import Joining
+from nutmegdrum_coord.logeffects import (
+    Ballot,
+    Compacted,
+    Effect,
+    Retire,
+    Saved,
+    Trust,
+)
+from nutmegdrum_coord.logmessages import (
+    ANY_INCARNATION,
+    NO_CLUSTER,
+    AnyMessage,
+    AppendReply,
+    AppendRequest,
+    Entry,
+    EntryKind,
+    Form,
+    Hello,
+    HelloReply,
+    LastEntry,
+    Member,
+    Members,
+    Message,
+    SnapshotReply,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+    encode_members,
+)
+from nutmegdrum_coord.logstate import LogState, LogTiming
+from nutmegdrum_coord.replication import Leadership
+
+NOBODY = Member(VmId(""), IncarnationId(""))
+"""Vote of a replica that may have voted in the term and forgotten for whom."""
+
+CLUSTER_ID_BITS = 64
+NONCE_BITS = 63
+
+
+class LogCore:
+    """Consensus of one replica.
+
+    Parameters
+    ----------
+    identity : Member
+        This replica.
+    vms : collection of VmId
+        VMs of all state replicas by the settings, this one included.
+    saved : Saved
+        What this replica's files hold.
+    """
+
+    def __init__(
+        self,
+        identity: Member,
+        vms: Collection[VmId],
+        timing: LogTiming,
+        rng: random.Random,
+        saved: Saved,
+        now_ms: int,
+    ):
+        self.identity = identity
+        self.state = LogState(identity, saved)
+        self.leader: Member | None = None
+        self.retired = False
+        self._vms = frozenset(vms) | {identity.vm}
+        self._timing = timing
+        self._rng = rng
+        self._election = Election(timing.election_timeout_ms, rng, now_ms)
+        nonce = rng.getrandbits(NONCE_BITS)
+        self._joining = Joining(identity, self._vms, saved, timing.confirm_ms, nonce, now_ms)
+        self._following = Following(self.state)
+        self._leadership: Leadership | None = None
+        self._next_hello_ms = now_ms
+        self._handlers: dict[type, Callable[[int, Any], None]] = {
+            VoteRequest: self._on_vote_request,
+            VoteReply: self._on_vote_reply,
+            AppendRequest: self._on_append_request,
+            AppendReply: self._on_append_reply,
+            SnapshotRequest: self._on_snapshot_request,
+            SnapshotReply: self._on_snapshot_reply,
+            Hello: self._on_hello,
+            HelloReply: self._on_hello_reply,
+            Form: self._on_form,
+        }
+
+    @property
+    def leads(self) -> bool:
+        """Return whether this replica was elected and has not stepped down."""
+        return self._leadership is not None
+
+    @property
+    def may_vote(self) -> bool:
+        """Return whether the check after a restart of the VM is over."""
+        return self._joining.confirmed and not self.retired
+
+    @property
+    def members(self) -> Members:
+        """Return the configuration in force."""
+        return self.state.entries.members
+
+    def serves(self, now_ms: int) -> bool:
+        """Return whether this replica leads, its lease holds and its state is complete."""
+        return self._leadership is not None and self._leadership.serves(now_ms)
+
+    def serves_until_ms(self, now_ms: int) -> int:
+        """Return the elapsed time in ms until which this replica may serve; 0 if it may not."""
+        return self._leadership.serves_until_ms(now_ms) if self._leadership else 0
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Let time pass: send heartbeats, stand for election, step down."""
+        if not self.retired:
+            self._tick(now_ms)
+        return self.state.take_effects()
+
+    def receive(self, now_ms: int, message: AnyMessage) -> list[Effect]:
+        """Handle one message; duplicate, late and foreign ones have no effect."""
+        if not self.retired and self._is_for_us(message) and self._admit_term(now_ms, message):
+            self._handlers[type(message)](now_ms, message)
+        return self.state.take_effects()
+
+    def propose(self, now_ms: int, command: bytes) -> Entry | None:
+        """Append a command, or return None if this replica may not serve now.
+
+        The effects are returned by `flush`.
+        """
+        if self._leadership is None or not self._leadership.serves(now_ms):
+            return None
+        return self._leadership.append(now_ms, EntryKind.COMMAND, command)
+
+    def flush(self, now_ms: int) -> list[Effect]:
+        """Send what was appended by a batch of calls, and commit what can be."""
+        if self._leadership is not None:
+            self._leadership.flush(now_ms)
+        return self.state.take_effects()
+
+    def compact(self, position: LogPosition, keep: int) -> Compacted:
+        """Drop entries covered by a snapshot at `position`, save the last `keep` of them."""
+        entries = self.state.entries
+        start = max(entries.base.position, LogPosition(position - keep))
+        entries.compact(entries.base_at(start))
+        return Compacted(entries.base, entries.between(start, entries.last.position))
+
+    def _is_for_us(self, message: Message) -> bool:
+        if message.sender == self.identity:
+            return False
+        if message.to not in (ANY_INCARNATION, self.identity.incarnation):
+            return False
+        own = self.state.ballot.cluster
+        if isinstance(message, Hello | HelloReply):
+            return NO_CLUSTER in (own, message.cluster) or own == message.cluster
+        if own == NO_CLUSTER:
+            return isinstance(message, AppendRequest | SnapshotRequest | Form)
+        return own == message.cluster
+
+    def _admit_term(self, now_ms: int, message: Message) -> bool:
+        """Adopt a newer term where it is due, and return whether to handle the message."""
+        if isinstance(message, Hello | HelloReply | Form | VoteRequest):
+            return True
+        if isinstance(message, VoteReply) and message.granted:
+            return True
+        if message.term > self.state.term:
+            self._enter_term(now_ms, message.term)
+        return True
+
+    def _enter_term(self, now_ms: int, term: Term) -> None:
+        self._follow(now_ms, None)
+        self._election.cancel()
+        self.state.save_ballot(Ballot(self.state.ballot.cluster, term, None))
+
+    def _follow(self, now_ms: int, leader: Member | None) -> None:
+        if self._leadership is not None:
+            self._leadership = None
+            self._election.reset(now_ms)
+        self.leader = leader
+
+    def _tick(self, now_ms: int) -> None:
+        self._say_hello(now_ms)
+        if self.state.ballot.cluster == NO_CLUSTER:
+            self._form(now_ms)
+            return
+        self._confirm(now_ms)
+        if self._leadership is not None:
+            self._lead(now_ms)
+        elif self._election.is_due(now_ms):
+            self._stand(now_ms, Phase.PRE_VOTES)
+
+    def _lead(self, now_ms: int) -> None:
+        assert self._leadership is not None
+        if self._leadership.is_lost(now_ms):
+            self._follow(now_ms, None)
+            return
+        self._leadership.tick(now_ms)
+        self._leadership.flush(now_ms)
+
+    def _say_hello(self, now_ms: int) -> None:
+        admitted = self.identity in self.members.voters
+        if now_ms < self._next_hello_ms or (admitted and self._joining.confirmed):
+            return
+        self._next_hello_ms = now_ms + self._timing.heartbeat_ms
+        for vm in sorted(self._vms - {self.identity.vm}):
+            self.state.send_vm(
+                vm, ANY_INCARNATION, Hello, last=self.state.entries.last, nonce=self._joining.nonce
+            )
+
+    def _form(self, now_ms: int) -> None:
+        members = self._joining.founders()
+        if members is None:
+            return
+        cluster = f"{self._rng.getrandbits(CLUSTER_ID_BITS):016x}"
+        self._found(now_ms, cluster, members)
+
+    def _found(self, now_ms: int, cluster: str, members: Members) -> None:
+        self._joining.confirmed = True
+        self.state.save_ballot(Ballot(cluster, Term(0), None))
+        first = Entry(LogPosition(1), Term(0), 0, EntryKind.MEMBERS, encode_members(members))
+        self.state.save_entries([first])
+        self._election.reset(now_ms)
+        self._offer_form()
+
+    def _offer_form(self) -> None:
+        for member in self.members.voters:
+            if member != self.identity:
+                self.state.send(member, Form, members=self.members)
+
+    def _confirm(self, now_ms: int) -> None:
+        joining = self._joining
+        if joining.confirmed or not joining.is_checked(now_ms):
+            return
+        if self.state.entries.last < joining.floor():
+            return
+        spent = joining.spent_term()
+        if spent >= self.state.term:
+            vote = self.state.ballot.vote if spent == self.state.term else None
+            self.state.save_ballot(Ballot(self.state.ballot.cluster, spent, vote or NOBODY))
+        joining.confirmed = True
+        self.state.emit(Trust())
+
+    def _stand(self, now_ms: int, phase: Phase) -> None:
+        self._election.reset(now_ms)
+        if self.identity not in self.members.voters or not self._joining.confirmed:
+            return
+        self._follow(now_ms, None)
+        asked = Term(self.state.term + 1)
+        if phase is Phase.VOTES:
+            self.state.save_ballot(Ballot(self.state.ballot.cluster, asked, self.identity))
+        self._election.stand(phase, self.identity, now_ms)
+        for member in self.members.voters:
+            if member != self.identity:
+                pre = phase is Phase.PRE_VOTES
+                last = self.state.entries.last
+                self.state.send(member, VoteRequest, term=asked, pre=pre, last=last)
+        self._count_votes(now_ms)
+
+    def _count_votes(self, now_ms: int) -> None:
+        if not self._election.is_won(self.members):
+            return
+        if self._election.phase is Phase.PRE_VOTES:
+            self._stand(now_ms, Phase.VOTES)
+        elif self._election.phase is Phase.VOTES:
+            self._become_leader(now_ms)
+
+    def _become_leader(self, now_ms: int) -> None:
+        self._election.reset(now_ms)
+        self.leader = self.identity
+        self._leadership = Leadership(self.state, self._vms, self._timing, now_ms)
+        self._leadership.tick(now_ms)
+        self._leadership.flush(now_ms)
+
+    def _on_vote_request(self, now_ms: int, req: VoteRequest) -> None:
+        granted = self._may_grant(now_ms, req)
+        if granted and not req.pre:
+            if req.term > self.state.term:
+                self._enter_term(now_ms, req.term)
+            ballot = Ballot(self.state.ballot.cluster, req.term, req.sender)
+            self.state.save_ballot(ballot)
+            self._election.reset(now_ms)
+        self.state.send(req.sender, VoteReply, pre=req.pre, asked=req.term, granted=granted)
+
+    def _may_grant(self, now_ms: int, req: VoteRequest) -> bool:
+        if self._leadership is not None or self._election.has_promised(now_ms):
+            return False
+        if not self._joining.is_checked(now_ms) or req.term <= self._joining.spent_term():
+            return False
+        if req.last < max(self.state.entries.last, self._joining.floor()):
+            return False
+        if req.term == self.state.term:
+            return not req.pre and self.state.ballot.vote in (None, req.sender)
+        return req.term > self.state.term
+
+    def _on_vote_reply(self, now_ms: int, reply: VoteReply) -> None:
+        if not reply.granted:
+            return
+        phase = Phase.PRE_VOTES if reply.pre else Phase.VOTES
+        standing = self.state.term + (1 if reply.pre else 0)
+        if self._election.phase is phase and reply.asked == standing:
+            self._election.count(reply.sender)
+            self._count_votes(now_ms)
+
+    def _hear_leader(self, now_ms: int, req: AppendRequest | SnapshotRequest) -> bool:
+        """Follow the sender if it leads the current term; otherwise tell it the term."""
+        if req.term < self.state.term:
+            self.state.send(
+                req.sender,
+                AppendReply,
+                accepted=False,
+                position=LogPosition(0),
+                sent_ms=req.sent_ms,
+            )
+            return False
+        if self.state.ballot.cluster == NO_CLUSTER:
+            self._joining.confirmed = True
+            self.state.save_ballot(Ballot(req.cluster, req.term, None))
+        self._follow(now_ms, req.sender)
+        self._election.hear_leader(now_ms)
+        return True
+
+    def _on_append_request(self, now_ms: int, req: AppendRequest) -> None:
+        if self._hear_leader(now_ms, req):
+            self._following.append(req)
+
+    def _on_snapshot_request(self, now_ms: int, req: SnapshotRequest) -> None:
+        if self._hear_leader(now_ms, req):
+            self._following.take_chunk(req)
+
+    def _on_append_reply(self, now_ms: int, reply: AppendReply) -> None:
+        if self._leadership is not None and reply.term == self.state.term:
+            self._leadership.on_append_reply(now_ms, reply)
+
+    def _on_snapshot_reply(self, now_ms: int, reply: SnapshotReply) -> None:
+        if self._leadership is not None and reply.term == self.state.term:
+            self._leadership.on_snapshot_reply(now_ms, reply)
+
+    def _on_hello(self, now_ms: int, hello: Hello) -> None:
+        self._joining.note_incarnation(hello.sender)
+        acknowledged = LogPosition(0)
+        if self._leadership is not None:
+            acknowledged = self._leadership.acknowledged(hello.sender)
+            self._leadership.admit(hello.sender)
+        if hello.cluster == NO_CLUSTER and hello.sender in self.members.voters:
+            self._offer_form_to(hello.sender)
+        self.state.send(
+            hello.sender,
+            HelloReply,
+            nonce=hello.nonce,
+            last=self.state.entries.last,
+            acknowledged=acknowledged,
+            new=self._joining.new,
+        )
+
+    def _offer_form_to(self, member: Member) -> None:
+        entries = self.state.entries
+        if entries.base.position == 0 and entries.members_position == 1:
+            self.state.send(member, Form, members=entries.members)
+
+    def _on_hello_reply(self, now_ms: int, reply: HelloReply) -> None:
+        if reply.nonce != self._joining.nonce:
+            return
+        if self._has_forgotten(reply):
+            self.retired = True
+            self._follow(now_ms, None)
+            self.state.emit(Retire())
+            return
+        self._joining.note_answer(reply, first_only=self.state.ballot.cluster != NO_CLUSTER)
+
+    def _has_forgotten(self, reply: HelloReply) -> bool:
+        if reply.acknowledged == 0 or reply.term < self.state.term:
+            return False
+        newest = LastEntry(self.state.term, self.state.entries.last.position)
+        return newest < LastEntry(reply.term, reply.acknowledged)
+
+    def _on_form(self, now_ms: int, form: Form) -> None:
+        if self.state.ballot.cluster != NO_CLUSTER or self.identity not in form.members.voters:
+            return
+        if self._joining.accepts_form(form.members):
+            self._found(now_ms, form.cluster, form.members)
--- /dev/null
+++ b/packages/coord/src/nutmegdrum_coord/members.py
@@ -0,0 +1,59 @@
+"""Changes of the log's configuration, one at a time."""
+
+from collections.abc import Collection, Mapping
+
+from nutmegdrum_coord.ids import VmId
+from nutmegdrum_coord.logmessages import Member, Members
+
+
+def quorum(members: Members) -> int:
+    """Return how many voters are a majority."""
+    return len(members.voters) // 2 + 1
+
+
+def next_change(
+    members: Members,
+    vms: Collection[VmId],
+    arrived: Mapping[VmId, Member],
+    caught_up: Collection[Member],
+    leader: Member,
+) -> Members | None:
+    """Return the next configuration, or None if nothing is to be changed.
+
+    Two successive configurations differ by one voter at most, so that their quorums always
+    share a member. A new incarnation first catches up as a learner; only then does its VM's
+    old incarnation leave, and in a change of its own the new one is made a voter. The old
+    one's disk is gone, so the quorum without it needs no more live VMs than the one with it.
+
+    Parameters
+    ----------
+    vms : collection of VmId
+        VMs that are to keep the log, from the settings.
+    arrived : mapping
+        Newest incarnation of each VM that asked to be admitted.
+    caught_up : collection of Member
+        Learners that have all committed entries and answered lately.
+    """
+    for learner in members.learners:
+        if learner in caught_up and learner.vm in vms:
+            return _promote(members, learner)
+    for member in arrived.values():
+        if member.vm in vms and member not in members.everyone():
+            kept = tuple(other for other in members.learners if other.vm != member.vm)
+            return Members(members.voters, (*kept, member))
+    for voter in members.voters:
+        if voter.vm not in vms and voter != leader:
+            return _without(members, voter)
+    return None
+
+
+def _promote(members: Members, learner: Member) -> Members:
+    for voter in members.voters:
+        if voter.vm == learner.vm:
+            return _without(members, voter)
+    learners = tuple(other for other in members.learners if other != learner)
+    return Members((*members.voters, learner), learners)
+
+
+def _without(members: Members, voter: Member) -> Members:
+    return Members(tuple(v for v in members.voters if v != voter), members.learners)
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/lognode.py
@@ -0,0 +1,476 @@
+"""One replica of the replicated log: threads, files and futures around `LogCore`.
+
+One actor owns the core, the files and the state machine. It takes all inputs that have come
+since its last turn, lets the core handle them, writes and syncs what they ask for at once, and
+only then sends and applies. Proposals that come during a sync thus share the next one. Each
+peer has a thread that sends to it, so that a peer that hangs delays nobody else.
+
+What must survive is described in `nutmegdrum_coord.logstore`.
+"""
+
+import logging
+import random
+import secrets
+import threading
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import Future
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+import pykka
+from nutmegdrum_coord.clock import Clock
+from nutmegdrum_coord.ids import FencingNumber, LogPosition, VmId
+from nutmegdrum_coord.logcore import LogCore
+from nutmegdrum_coord.logeffects import (
+    Apply,
+    Effect,
+    InstallSnapshot,
+    Retire,
+    SaveBallot,
+    SaveChunk,
+    SaveEntries,
+    Send,
+    SendChunk,
+    Trust,
+)
+from nutmegdrum_coord.logmessages import (
+    AnyMessage,
+    Entry,
+    EntryKind,
+    Member,
+    Members,
+    decode_message,
+    encode_message,
+)
+from nutmegdrum_coord.logstate import LogTiming
+from nutmegdrum_coord.statemachine import Applied, StateMachine
+from nutmegdrum_coord.verdict import NO_QUORUM, NOT_LEADER, Refusal, Verdict
+from prometheus_client import Counter, Gauge
+
+from nutmegdrum.logfolder import open_folder, retire_folder
+from nutmegdrum.logsender import LogTransport, PeerSender
+from nutmegdrum.settings import Settings
+
+__all__ = ["LogNode", "LogTransport"]
+
+log = logging.getLogger(__name__)
+
+KEPT_ENTRIES = 512
+"""Entries kept after a snapshot, so that a member slightly behind needs no snapshot."""
+
+MAX_LOG_BYTES = 64 << 20
+"""Bytes of commands after which a snapshot is taken, however few the commands are."""
+
+EXCHANGE_TIMEOUT_S = 2.0
+RETRY_MS = 200
+SEED_BITS = 64
+TICKS_PER_HEARTBEAT = 5
+
+LEADS = Gauge("nutmegdrum_log_leads", "1 if this replica of the log leads, else 0")
+TERM = Gauge("nutmegdrum_log_term", "Current term of the replicated log")
+APPLIED = Gauge("nutmegdrum_log_applied_position", "Position up to which commands are applied")
+FAILED = Gauge("nutmegdrum_log_disk_failed", "1 if this replica stopped because of its disk")
+SYNCS = Counter("nutmegdrum_log_syncs", "Syncs of the log, one for many commands")
+COMMANDS = Counter("nutmegdrum_log_commands", "Commands applied")
+SNAPSHOTS = Counter("nutmegdrum_log_snapshots", "Snapshots taken or installed")
+RETIRED = Counter("nutmegdrum_log_retired_incarnations", "Incarnations given up")
+
+
+class _Proposal(NamedTuple):
+    command: bytes
+    fut: "Future[Applied]"
+
+
+class _Exchange(NamedTuple):
+    sender: VmId
+    messages: list[AnyMessage]
+    fut: "Future[list[bytes]] | None"
+
+
+class _Pending(NamedTuple):
+    term: int
+    fut: "Future[Applied]"
+
+
+class _Turn:
+    """Wake-up of the actor."""
+
+
+_Input = _Proposal | _Exchange | None
+
+
+class _CoreActor(pykka.ThreadingActor):
+    """Thread that owns the core of one node."""
+
+    use_daemon_thread = True
+
+    def __init__(self, turn: Callable[[], None]):
+        super().__init__()
+        self._turn = turn
+
+    def on_receive(self, message: _Turn) -> None:
+        """Handle all inputs that have come."""
+        self._turn()
+
+
+class LogNode:
+    """Replica of the log on this VM.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Settings of this daemon; the log lives in `vm.data_folder`/log.
+    machine : StateMachine
+        State that commands are applied to, on the node's own thread.
+    transport : LogTransport
+        Way to the peers.
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        rng: random.Random,
+        machine: StateMachine,
+        transport: LogTransport,
+    ):
+        if cfg.vm.data_folder is None:
+            raise ValueError("a replica of the log needs a data folder")
+        self._folder = Path(cfg.vm.data_folder) / "log"
+        self._vm = cfg.vm.id
+        self._peers = [peer.vm for peer in cfg.state_replicas if peer.vm != cfg.vm.id]
+        self._timing = LogTiming(cfg.control.log_heartbeat, cfg.control.election_timeout)
+        self._snapshot_every = cfg.control.snapshot_every
+        self._clock = clock
+        self._rng = random.Random(rng.getrandbits(SEED_BITS) ^ secrets.randbits(SEED_BITS))
+        self._machine = machine
+        self._transport = transport
+        self._lock = threading.Lock()
+        self._inputs: deque[_Input] = deque()
+        self._woken = False
+        self._pending: dict[LogPosition, _Pending] = {}
+        self._applied = LogPosition(0)
+        self._bytes_since_snapshot = 0
+        self._serves_until_ms = 0
+        self._failed = False
+        self._led = False
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Read the files, restore the state and start the threads."""
+        self._initial = self._machine.snapshot()
+        self._open()
+        self._senders = {
+            vm: PeerSender(vm, self._transport, self._take_replies) for vm in self._peers
+        }
+        self._actor = _CoreActor.start(self._turn)
+        self._ticker = threading.Thread(target=self._tick_forever, daemon=True)
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """End the threads and close the files; pending proposals fail."""
+        self._stopping.set()
+        self._ticker.join()
+        for sender in self._senders.values():
+            sender.stop()
+        self._actor.stop(block=True)
+        self._serves_until_ms = 0
+        self._fail_pending()
+        self._refuse_inputs()
+        self._store.close()
+
+    def exchange(self, sender: VmId, messages: list[bytes]) -> list[bytes]:
+        """Handle a peer's messages and return the messages for it.
+
+        Everything that the answers say is synced when this returns. Thread-safe.
+        """
+        fut: Future[list[bytes]] = Future()
+        self._put(_Exchange(sender, _decoded(messages), fut))
+        try:
+            return fut.result(timeout=EXCHANGE_TIMEOUT_S)
+        except TimeoutError:
+            return []
+
+    def propose(self, command: bytes) -> "Future[Applied]":
+        """Append a command, as `Log.propose` says."""
+        fut: Future[Applied] = Future()
+        if self.is_leader():
+            self._put(_Proposal(command, fut))
+        else:
+            fut.set_exception(self._not_leader())
+        return fut
+
+    def is_leader(self) -> bool:
+        """Return whether this replica leads and its lease is valid now."""
+        return self._clock.elapsed_ms() < self._serves_until_ms
+
+    def leader(self) -> VmId | None:
+        """Return the leader as far as this replica knows."""
+        member = self._core.leader
+        return member.vm if member else None
+
+    def fencing_number(self) -> FencingNumber:
+        """Return the current term."""
+        return FencingNumber(self._core.state.term)
+
+    def applied_position(self) -> LogPosition:
+        """Return the position up to which this replica has applied commands."""
+        return self._applied
+
+    def lease_until_ms(self) -> int:
+        """Return the elapsed time in ms until which this replica may serve; 0 if it may not."""
+        return self._serves_until_ms
+
+    def identity(self) -> Member:
+        """Return this replica's VM and incarnation."""
+        return self._core.identity
+
+    def members(self) -> Members:
+        """Return the configuration in force here."""
+        return self._core.members
+
+    def has_failed(self) -> bool:
+        """Return whether this replica stopped because of its disk."""
+        return self._failed
+
+    def _open(self) -> None:
+        self._store, incarnation, saved = open_folder(self._folder)
+        covered = saved.snapshot.position
+        self._machine.restore(self._store.read_snapshot() if covered else self._initial)
+        self._applied = saved.snapshot.position
+        self._core = LogCore(
+            Member(self._vm, incarnation),
+            [self._vm, *self._peers],
+            self._timing,
+            self._rng,
+            saved,
+            self._clock.elapsed_ms(),
+        )
+
+    def _put(self, item: _Input) -> None:
+        with self._lock:
+            self._inputs.append(item)
+            if self._woken:
+                return
+            self._woken = True
+        try:
+            self._actor.tell(_Turn())
+        except pykka.ActorDeadError:
+            self._refuse_inputs()
+
+    def _take_inputs(self) -> list[_Input]:
+        with self._lock:
+            self._woken = False
+            items = list(self._inputs)
+            self._inputs.clear()
+        return items
+
+    def _take_replies(self, sender: VmId, replies: list[bytes]) -> None:
+        if replies:
+            self._put(_Exchange(sender, _decoded(replies), None))
+
+    def _tick_forever(self) -> None:
+        period_s = self._timing.heartbeat_ms / TICKS_PER_HEARTBEAT / 1_000
+        while not self._stopping.wait(period_s):
+            self._put(None)
+
+    def _turn(self) -> None:
+        items = self._take_inputs()
+        if self._failed:
+            self._refuse(items)
+            return
+        try:
+            self._handle(items)
+        except Exception as exc:
+            # Nothing may follow a turn of which a part was not carried out.
+            self._fail(exc)
+            self._refuse(items)
+
+    def _handle(self, items: list[_Input]) -> None:
+        now_ms = self._clock.elapsed_ms()
+        effects = [*self._core.tick(now_ms)]
+        answers: list[tuple[_Exchange, list[Send]]] = []
+        for item in items:
+            if isinstance(item, _Proposal):
+                self._append(now_ms, item)
+            elif item is not None:
+                effects.extend(self._receive(now_ms, item, answers))
+        effects.extend(self._core.flush(now_ms))
+        self._carry_out(effects, answers)
+        self._publish()
+
+    def _append(self, now_ms: int, item: _Proposal) -> None:
+        entry = self._core.propose(now_ms, item.command)
+        if entry is None:
+            item.fut.set_exception(self._not_leader())
+        else:
+            self._pending[entry.position] = _Pending(entry.term, item.fut)
+
+    def _receive(
+        self, now_ms: int, item: _Exchange, answers: list[tuple[_Exchange, list[Send]]]
+    ) -> list[Effect]:
+        effects = [e for message in item.messages for e in self._core.receive(now_ms, message)]
+        if item.fut is None:
+            return effects
+        replies = [e for e in effects if isinstance(e, Send) and e.to == item.sender]
+        answers.append((item, replies))
+        return [e for e in effects if e not in replies]
+
+    def _carry_out(
+        self, effects: list[Effect], answers: list[tuple[_Exchange, list[Send]]]
+    ) -> None:
+        self._save(effects)
+        for exchange, replies in answers:
+            assert exchange.fut is not None
+            exchange.fut.set_result([encode_message(reply.message) for reply in replies])
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect.to, effect.message)
+            elif isinstance(effect, SendChunk):
+                self._send_chunk(effect)
+            elif isinstance(effect, Apply):
+                self._apply(effect.entries)
+            elif isinstance(effect, InstallSnapshot):
+                self._restore(effect)
+        if any(isinstance(effect, Retire) for effect in effects):
+            self._retire()
+        else:
+            self._compact_if_due()
+
+    def _save(self, effects: list[Effect]) -> None:
+        entries: list[Entry] = []
+        for effect in effects:
+            if isinstance(effect, SaveEntries):
+                entries.extend(effect.entries)
+                continue
+            if isinstance(effect, InstallSnapshot | SaveBallot):
+                self._save_entries(entries)
+                entries = []
+            self._save_other(effect)
+        self._save_entries(entries)
+
+    def _save_entries(self, entries: list[Entry]) -> None:
+        if entries:
+            self._store.append(entries)
+            SYNCS.inc()
+
+    def _save_other(self, effect: Effect) -> None:
+        if isinstance(effect, SaveBallot):
+            self._store.save_ballot(effect.ballot)
+        elif isinstance(effect, SaveChunk):
+            self._store.write_chunk(effect.offset, effect.data)
+        elif isinstance(effect, InstallSnapshot):
+            self._store.install(effect.base, effect.digest)
+        elif isinstance(effect, Trust):
+            self._store.trust(self._core.identity.incarnation)
+
+    def _send(self, to: VmId, message: AnyMessage) -> None:
+        sender = self._senders.get(to)
+        if sender is not None:
+            sender.put(encode_message(message))
+
+    def _send_chunk(self, effect: SendChunk) -> None:
+        info = self._store.snapshot
+        request = msgspec.structs.replace(
+            effect.request,
+            base=info.base,
+            digest=info.digest,
+            size=info.size,
+            data=self._store.read_chunk(effect.request.offset),
+        )
+        self._send(effect.to, request)
+
+    def _apply(self, entries: list[Entry]) -> None:
+        for entry in entries:
+            answer = b""
+            if entry.kind is EntryKind.COMMAND:
+                answer = self._machine.apply(entry.position, entry.at, entry.data)
+                COMMANDS.inc()
+            self._applied = entry.position
+            self._bytes_since_snapshot += len(entry.data)
+            pending = self._pending.pop(entry.position, None)
+            if pending is None:
+                continue
+            if pending.term == entry.term:
+                pending.fut.set_result(Applied(entry.position, answer))
+            else:
+                pending.fut.set_exception(_lost())
+
+    def _restore(self, effect: InstallSnapshot) -> None:
+        self._machine.restore(self._store.read_snapshot())
+        self._applied = effect.base.position
+        self._bytes_since_snapshot = 0
+        SNAPSHOTS.inc()
+
+    def _compact_if_due(self) -> None:
+        since = self._applied - self._store.snapshot.base.position
+        if since < self._snapshot_every and self._bytes_since_snapshot < MAX_LOG_BYTES:
+            return
+        base = self._core.state.entries.base_at(self._applied)
+        self._store.write_snapshot(base, self._machine.snapshot())
+        self._store.compact(self._core.compact(self._applied, KEPT_ENTRIES))
+        self._bytes_since_snapshot = 0
+        SNAPSHOTS.inc()
+
+    def _retire(self) -> None:
+        log.warning("data folder is older than what this replica acknowledged; it is set aside")
+        self._store.close()
+        retire_folder(self._folder)
+        RETIRED.inc()
+        self._open()
+
+    def _publish(self) -> None:
+        core = self._core
+        self._serves_until_ms = core.serves_until_ms(self._clock.elapsed_ms())
+        TERM.set(core.state.term)
+        APPLIED.set(self._applied)
+        if core.leads != self._led:
+            self._led = core.leads
+            LEADS.set(int(core.leads))
+            log.info("%s term %d", "leads" if core.leads else "steps down", core.state.term)
+        if not core.leads:
+            self._fail_pending()
+
+    def _fail(self, exc: Exception) -> None:
+        self._failed = True
+        self._serves_until_ms = 0
+        FAILED.set(1)
+        log.error("cannot save or apply, this replica stops: %r", exc)
+        self._fail_pending()
+
+    def _fail_pending(self) -> None:
+        pending, self._pending = self._pending, {}
+        for item in pending.values():
+            item.fut.set_exception(_lost())
+
+    def _refuse_inputs(self) -> None:
+        self._refuse(self._take_inputs())
+
+    def _refuse(self, items: list[_Input]) -> None:
+        for item in items:
+            if isinstance(item, _Proposal) and not item.fut.done():
+                item.fut.set_exception(self._not_leader())
+            elif isinstance(item, _Exchange) and item.fut is not None and not item.fut.done():
+                item.fut.set_result([])
+
+    def _not_leader(self) -> Refusal:
+        leader = self.leader()
+        detail = f"the leader is {leader}" if leader else "no leader is known"
+        return Refusal(NOT_LEADER, Verdict.NOT_RUN, RETRY_MS, detail)
+
+
+def _lost() -> Refusal:
+    detail = "leadership was lost after the command was appended"
+    return Refusal(NO_QUORUM, Verdict.MAY_HAVE_RUN, RETRY_MS, detail)
+
+
+def _decoded(messages: list[bytes]) -> list[AnyMessage]:
+    decoded = []
+    for data in messages:
+        try:
+            decoded.append(decode_message(data))
+        except msgspec.MsgspecError as exc:
+            log.debug("message of another version: %s", exc)
+    return decoded
