Serve requests end to end through separate processes

Cause of the first failures: addresses could not be encoded in messages (a string subclass needs a hook), and library log lines were lost. Ruled out: the log's bootstrap.

--- a/packages/kernel/src/nutmegdrum/generations.py
+++ b/packages/kernel/src/nutmegdrum/generations.py
@@ -1,6 +1,7 @@
 """Generations that callers start, resume and cancel on this VM."""
 
 from collections.abc import Generator
+from random import Random
 from typing import NamedTuple
 
 from nutmegdrum_coord import verdict as v
@@ -14,6 +15,8 @@
 from nutmegdrum.relay import Relay
 from nutmegdrum.settings import WorkspaceSettings
 
+CHARACTERS_PER_TOKEN = 4
+
 Items = Generator[list[Token | Finish], None, None]
 
 
@@ -33,7 +36,7 @@
         Runs a generation on backend servers.
     """
 
-    def __init__(self, clock: Clock, admission: Admission, relay: Relay, rng):
+    def __init__(self, clock: Clock, admission: Admission, relay: Relay, rng: Random):
         self._clock = clock
         self._admission = admission
         self._relay = relay
@@ -52,7 +55,7 @@
         if last_event_id:
             raise v.Refusal(v.JOURNAL_LOST, detail="this VM has no copy of the generation")
         generation = make_generation_id(self._rng, [])
-        ticket = self._admission.admit(_admission_request(req), self._clock.elapsed_ms())
+        ticket = self._admission.admit(_demand(req), self._clock.elapsed_ms())
         return Answer(generation, self._run(ticket, req, generation))
 
     def _run(self, ticket: Ticket, req: GenerationRequest, generation: GenerationId) -> Items:
@@ -73,3 +76,8 @@
             `NOT_FOUND` if there is none.
         """
         raise v.Refusal(v.NOT_FOUND, detail="no such generation")
+
+
+def _demand(req: GenerationRequest) -> AdmissionRequest:
+    tokens = len(req.prompt) // CHARACTERS_PER_TOKEN + req.max_tokens
+    return AdmissionRequest(req.workspace, tokens, req.priority, req.deadline_ms)
--- a/packages/kernel/src/nutmegdrum/logs.py
+++ b/packages/kernel/src/nutmegdrum/logs.py
@@ -1,15 +1,21 @@
 """Structured log lines, written for changes of state only."""
 
+import logging
 import sys
 from typing import Any
 
 import eliot
+from eliot.stdlib import EliotHandler
 
 
 def start_logging(vm: str) -> None:
-    """Write log lines as JSON to standard error, each with the VM's id."""
+    """Write log lines as JSON to standard error, each with the VM's id.
+
+    Lines of libraries that use the standard logging come along.
+    """
     eliot.add_global_fields(vm=vm)
     eliot.to_file(sys.stderr)
+    logging.basicConfig(handlers=[EliotHandler()], level=logging.INFO, force=True)
 
 
 def log_change(subject: str, **details: Any) -> None:
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/packing.py
@@ -0,0 +1,25 @@
+"""Encoding of typed messages between processes, as msgpack."""
+
+from typing import Any
+
+import msgspec
+
+from nutmegdrum.units import decode_hook, encode_hook
+
+_encoder = msgspec.msgpack.Encoder(enc_hook=encode_hook)
+
+
+def pack(message: msgspec.Struct) -> bytes:
+    """Return the encoded message."""
+    return _encoder.encode(message)
+
+
+def unpack(data: bytes, kind: Any) -> Any:
+    """Return the message of type `kind` (a type or a union) in `data`.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If the data is no such message.
+    """
+    return msgspec.msgpack.decode(data, type=kind, dec_hook=decode_hook)
--- a/packages/kernel/src/nutmegdrum/rpc.py
+++ b/packages/kernel/src/nutmegdrum/rpc.py
@@ -22,7 +22,7 @@
 
 _MAX_IDLE_CONNECTIONS = 4
 
-logging.getLogger("thrift").addHandler(logging.NullHandler())
+logging.getLogger("thrift").setLevel(logging.CRITICAL)
 
 
 class PeerUnreachable(OSError):
--- a/packages/kernel/src/nutmegdrum/shared_state.py
+++ b/packages/kernel/src/nutmegdrum/shared_state.py
@@ -5,8 +5,8 @@
 from nutmegdrum_coord.clock import Clock, LogMs
 from nutmegdrum_coord.ids import LogPosition
 from nutmegdrum_coord.parts import PartedState
+from nutmegdrum_coord.quarantine import Quarantine
 
-from nutmegdrum.quarantine import Quarantine
 from nutmegdrum.view import QuarantineView
 
 
@@ -44,4 +44,6 @@
     def quarantines(self) -> list[QuarantineView]:
         """Return the requests that are refused now."""
         quarantine: Quarantine = self.state.parts[Quarantine.name]
-        return quarantine.views(self.log_now_ms())
+        with self.lock:
+            held = quarantine.quarantines(self.log_now_ms())
+        return [QuarantineView(fingerprint=f, remaining_ms=ms) for f, ms in held.items()]
--- a/packages/kernel/src/nutmegdrum/state_client.py
+++ b/packages/kernel/src/nutmegdrum/state_client.py
@@ -3,10 +3,10 @@
 import threading
 from collections.abc import Sequence
 
-import msgspec
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.ids import VmId
 
+from nutmegdrum.packing import pack, unpack
 from nutmegdrum.rpc import PeerUnreachable, RpcClient
 from nutmegdrum.settings import PeerSettings
 from nutmegdrum.view import HeartbeatAnswer, HeartbeatReport
@@ -63,14 +63,14 @@
         PeerUnreachable
             If no replica answers.
         """
-        encoded = msgspec.msgpack.encode(report)
+        encoded = pack(report)
         stale: HeartbeatAnswer | None = None
         for vm in self._order():
             try:
                 data = self._call(vm, "heartbeat", encoded, timeout_ms=timeout_ms)
             except (PeerUnreachable, v.Refusal):
                 continue
-            answer = msgspec.msgpack.decode(data, type=HeartbeatAnswer)
+            answer = unpack(data, HeartbeatAnswer)
             if answer.fresh:
                 self._note_leader(vm)
                 return answer
--- a/packages/kernel/src/nutmegdrum/state_daemon.py
+++ b/packages/kernel/src/nutmegdrum/state_daemon.py
@@ -3,18 +3,18 @@
 import random
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
-import msgspec
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.claims import Claims
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import CommandId, VmId
 from nutmegdrum_coord.parts import PartedState, encode_command
+from nutmegdrum_coord.quarantine import Quarantine
 
 from nutmegdrum.leader_actor import LeaderActor
 from nutmegdrum.lognode import LogNode
 from nutmegdrum.orders import Orders
+from nutmegdrum.packing import pack, unpack
 from nutmegdrum.plugins import Kind, Registry
-from nutmegdrum.quarantine import Quarantine
 from nutmegdrum.queries import decode_query, encode_query
 from nutmegdrum.releases import Releases, SubmitNote
 from nutmegdrum.reports import answer_query
@@ -76,9 +76,7 @@
         self._log = LogNode(cfg, clock, rng, self._shared, RpcLogTransport(cfg, rpc))
         protocol = registry.get(Kind.BACKEND_PROTOCOL, BACKEND_PROTOCOL)
         judges = registry.get(Kind.ROLLOUT_JUDGE, ROLLOUT_JUDGE)
-        self._actor = LeaderActor.start(
-            cfg, clock, rng, self._shared, self._log, protocol, judges
-        )
+        self._actor = LeaderActor.start(cfg, clock, rng, self._shared, self._log, protocol, judges)
         self._leader = self._actor.proxy()
         self._ticker = Ticker("leader", LEADER_TICK_MS, self._tick)
 
@@ -133,8 +131,8 @@
 
     def heartbeat(self, report: bytes) -> bytes:
         """Take an entry VM's report; a replica that does not lead answers with a stale view."""
-        decoded = msgspec.msgpack.decode(report, type=HeartbeatReport)
-        return msgspec.msgpack.encode(self._leader.heartbeat(decoded).get())
+        decoded = unpack(report, HeartbeatReport)
+        return pack(self._leader.heartbeat(decoded).get())
 
     def query(self, query: bytes, fresh: bool) -> bytes:
         """Answer an encoded query.
--- a/packages/kernel/src/nutmegdrum/units.py
+++ b/packages/kernel/src/nutmegdrum/units.py
@@ -83,6 +83,15 @@
     return Address(text)
 
 
+def encode_hook(value: Any) -> Any:
+    """Encode the quantity types of this module for msgspec."""
+    if isinstance(value, Address):
+        return str.__str__(value)
+    if isinstance(value, int):
+        return int(value)
+    raise NotImplementedError(f"cannot encode {type(value)!r}")
+
+
 def decode_hook(kind: type, value: Any) -> Any:
     """Decode the quantity types of this module for msgspec."""
     if kind is Duration:
--- a/packages/testing/src/nutmegdrum_testing/deployment.py
+++ b/packages/testing/src/nutmegdrum_testing/deployment.py
@@ -50,12 +50,12 @@
     shared: int = 0
     engines: int = 2
     plains: int = 0
-    versions: list[str] = ["1"]
-    workspaces: list[str] = ["w1", "w2"]
-    data_centres: list[str] = ["dc-a", "dc-b", "dc-c"]
+    versions: list[str] = msgspec.field(default_factory=lambda: ["1"])
+    workspaces: list[str] = msgspec.field(default_factory=lambda: ["w1", "w2"])
+    data_centres: list[str] = msgspec.field(default_factory=lambda: ["dc-a", "dc-b", "dc-c"])
     engine_options: list[str] = []
     plain_options: list[str] = []
-    plugins: list[str] = []
+    plugins: list[str] = msgspec.field(default_factory=lambda: ["http_engine", "sequential_judge"])
     settings: dict[str, Any] = {}
     peer_links: bool = False
     engine_links: bool = False
