--- a/packages/kernel/src/nutmegdrum/leader.py
+++ b/packages/kernel/src/nutmegdrum/leader.py
@@ -108,7 +108,7 @@
             fencing,
             now_ms,
             lease_ms=cfg.control.election_timeout,
-            deadline_ms=cfg.moves.order_deadline,
+            deadline_ms=int(cfg.moves.order_deadline),
             rng=rng,
         )
 
@@ -134,7 +134,7 @@
         view = self.view()
         return HeartbeatAnswer(
             fresh=fresh,
-            lease_ms=self._cfg.control.freshness_lease,
+            lease_ms=int(self._cfg.control.freshness_lease),
             view=None if report.generation == view.generation else view,
         )
 
@@ -161,7 +161,7 @@
 
     def view(self) -> View:
         """Return the view as of now, numbered."""
-        grant_ms = self._cfg.moves.grant_lease
+        grant_ms = int(self._cfg.moves.grant_lease)
         quarantines = self._quarantines()
         view = build_view(self._state, self.fleet, grant_ms, quarantines=quarantines)
         return self._numbering.number(view)
--- a/packages/kernel/src/nutmegdrum/schedule.py
+++ b/packages/kernel/src/nutmegdrum/schedule.py
@@ -14,8 +14,14 @@
 LOW_SHARE_PPM = PPM // 10
 """Largest share at which a version bakes while its complete-by time allows it."""
 
-MARGIN_MS = 5_000
-"""Time that is kept free before a complete-by time, in ms."""
+MIN_MARGIN_MS = 15_000
+"""Time that is kept free before a complete-by time at least, in ms."""
+
+MARGIN_PART = 8
+"""Part of the time from acceptance to the complete-by time that is kept free for losses."""
+
+LOAD_OVERHEAD_MS = 2_500
+"""Time that a load takes beside the reading of its weights, in ms."""
 
 MS_PER_S = 1_000
 
@@ -47,6 +53,7 @@
         weights = weights_of(load.version.model, load.version.version)
         if weights is not None and not load.version.adapter:
             total_ms += weights.size_bytes * MS_PER_S // max(1, weights.rate_bytes_per_s)
+            total_ms += LOAD_OVERHEAD_MS
     return total_ms
 
 
@@ -61,7 +68,7 @@
         return 0
     steps = len(move.share_steps) - 1
     done = move.step + 1 if move.state is MoveState.TRIAL else 0
-    return max(0, steps - done) * cfg.step_time
+    return max(0, steps - done) * int(cfg.step_time)
 
 
 def step_over(move: Move, times: Times, cfg: MoveSettings, load_ms: int, shown: bool) -> bool:
@@ -78,8 +85,8 @@
     lasted_ms = times.log_ms - move.since
     if lasted_ms < cfg.step_time:
         return False
-    spare_ms = move.complete_by - times.wall_ms - steps_left_ms(move, cfg) - load_ms - MARGIN_MS
-    if spare_ms <= 0:
+    needed_ms = steps_left_ms(move, cfg) + load_ms + _margin_ms(move)
+    if move.complete_by - times.wall_ms <= needed_ms:
         return True
     if not shown:
         return False
@@ -109,6 +116,10 @@
     return WallMs(predicted) if predicted > move.complete_by else None
 
 
+def _margin_ms(move: Move) -> int:
+    return max(MIN_MARGIN_MS, (move.complete_by - move.accepted) // MARGIN_PART)
+
+
 def _bakes_here(move: Move) -> bool:
     low = [i for i, share in enumerate(move.share_steps[:-1]) if share <= LOW_SHARE_PPM]
     return move.step == max(low, default=0)
--- /dev/null
+++ b/packages/plugins/src/nutmegdrum_plugins/sequential_judge.py
@@ -0,0 +1,273 @@
+"""Rollout judge: sequential tests of a new version against the settled one.
+
+Each route and level of load has one test a measure. A test keeps the likelihood ratio of several
+ways in which the new version could be worse against "no worse", averaged over the ways. If the
+version is no worse, that ratio exceeds 1/p at any time with a probability of at most p, so the
+tests may be read after every window. The error rate is divided among the tests.
+"""
+
+import math
+from collections import deque
+
+from nutmegdrum.judging import Comparison, Counts, Finding, RolloutJudge, Stream
+from nutmegdrum.plugins import Kind, Plugin, Registry
+from nutmegdrum_coord.ids import RouteName
+
+FAULT_RATIOS = (2.0, 6.0, 40.0)
+"""Ratios of fault rates, new version to settled, that are tested."""
+
+MAX_FAULT_WEIGHT = 4.0
+"""Faults of one window that count at most; more are scaled down, as they have one cause."""
+
+CRASH_WINDOWS = 5
+"""Windows that are joined for crashes: one death shows on several VMs at different times."""
+
+SLOW_QUANTILE = 0.8
+SLOW_FACTOR = 1.25
+SLOW_CHANCE = 0.35
+"""Chance, with allowance for drift, that a sample of an equal version counts as slow."""
+SLOW_CHANCES = (0.6, 0.85)
+SLOW_SAMPLES_PER_WINDOW = 4
+MIN_SETTLED_SAMPLES = 10
+RECENT_WINDOWS = 5
+BASELINE_SAMPLES = 400
+
+BASELINE_FACTOR = 3.0
+BASELINE_FAULT_RATE = 0.005
+BASELINE_CRASH_CHANCE = 0.15
+WORSE_CRASH_CHANCE = 0.7
+MIN_FAULT_CHANCE = 0.05
+
+SUSPICION = 50.0
+"""Likelihood ratio from which a version gets no larger share."""
+
+
+class Evidence:
+    """Likelihood ratios of several alternatives, averaged."""
+
+    def __init__(self, alternatives: int):
+        self._logs = [0.0] * alternatives
+
+    def add(self, log_ratios: list[float], weight: float = 1.0) -> None:
+        """Multiply each ratio by one factor, given by its logarithm."""
+        self._logs = [log + weight * add for log, add in zip(self._logs, log_ratios, strict=True)]
+
+    @property
+    def log(self) -> float:
+        """Return the logarithm of the average ratio."""
+        top = max(self._logs)
+        return top + math.log(sum(math.exp(log - top) for log in self._logs) / len(self._logs))
+
+
+class RateTest:
+    """Test of fault rates, by which version the faults of a window fall on.
+
+    Where the settled version has too little traffic to compare, its rate so far stands for it.
+    """
+
+    def __init__(self, max_weight: float):
+        self.evidence = Evidence(len(FAULT_RATIOS))
+        self._max_weight = max_weight
+        self._settled = [0, 0]
+        self._trial = [0, 0]
+
+    def observe(self, trial: int, trial_n: int, settled: int, settled_n: int) -> None:
+        """Take in faults and requests of both versions over one window."""
+        self._trial = [self._trial[0] + trial, self._trial[1] + trial_n]
+        if 2 * settled_n < trial_n:
+            self._against_rate(trial, trial_n)
+        elif trial_n > 0 and trial + settled > 0:
+            self._against_settled(trial, settled, trial_n / (trial_n + settled_n))
+        self._settled = [self._settled[0] + settled, self._settled[1] + settled_n]
+
+    def describe(self) -> str:
+        """Return the counts in words."""
+        trial, settled = self._trial, self._settled
+        return f"{trial[0]} of {trial[1]} requests, settled {settled[0]} of {settled[1]}"
+
+    def _against_settled(self, trial: int, settled: int, share: float) -> None:
+        weight = min(1.0, self._max_weight / (trial + settled))
+        ratios = []
+        for ratio in FAULT_RATIOS:
+            worse = ratio * share / (ratio * share + 1 - share)
+            on_trial = trial * math.log(worse / share)
+            on_settled = settled * math.log((1 - worse) / (1 - share))
+            ratios.append(on_trial + on_settled)
+        self.evidence.add(ratios, weight)
+
+    def _against_rate(self, trial: int, trial_n: int) -> None:
+        known = (self._settled[0] + 1) / (self._settled[1] + 10)
+        rate = min(0.5, BASELINE_FACTOR * known + BASELINE_FAULT_RATE)
+        weight = min(1.0, self._max_weight / max(1, trial))
+        ratios = []
+        for ratio in FAULT_RATIOS:
+            worse = min(0.95, max(ratio * rate, MIN_FAULT_CHANCE))
+            faults = trial * math.log(worse / rate)
+            fine = (trial_n - trial) * math.log((1 - worse) / (1 - rate))
+            ratios.append(faults + fine)
+        self.evidence.add(ratios, weight)
+
+
+class CrashTest:
+    """Test of crashes, over joined windows, each of which counts as one event at most."""
+
+    def __init__(self) -> None:
+        self._rate = RateTest(max_weight=1.0)
+        self._windows = Evidence(1)
+        self._settled_windows = [0, 0]
+        self._pending: list[tuple[int, int, int, int]] = []
+
+    def observe(self, trial: int, trial_n: int, settled: int, settled_n: int) -> None:
+        """Take in crashes and requests of both versions over one window."""
+        self._pending.append((trial, trial_n, settled, settled_n))
+        if len(self._pending) < CRASH_WINDOWS:
+            return
+        trial, trial_n, settled, settled_n = map(sum, zip(*self._pending, strict=True))
+        self._pending = []
+        if 2 * settled_n >= trial_n:
+            self._rate.observe(trial, trial_n, settled, settled_n)
+            self._settled_windows[0] += settled > 0
+            self._settled_windows[1] += 1
+            return
+        known = (self._settled_windows[0] + 1) / (self._settled_windows[1] + 10)
+        chance = min(0.5, max(BASELINE_CRASH_CHANCE, BASELINE_FACTOR * known))
+        worse = max(WORSE_CRASH_CHANCE, (1 + chance) / 2)
+        event = worse / chance if trial > 0 else (1 - worse) / (1 - chance)
+        self._windows.add([math.log(event)])
+
+    @property
+    def evidence(self) -> Evidence:
+        """Return the stronger evidence of the two comparisons."""
+        return max(self._rate.evidence, self._windows, key=lambda evidence: evidence.log)
+
+    def describe(self) -> str:
+        """Return the counts in words."""
+        return self._rate.describe()
+
+
+class SlowTest:
+    """Test of times against a high quantile of the settled version's in the same minutes."""
+
+    def __init__(self) -> None:
+        self.evidence = Evidence(len(SLOW_CHANCES))
+        self._recent: deque[list[int]] = deque(maxlen=RECENT_WINDOWS)
+        self._baseline: deque[int] = deque(maxlen=BASELINE_SAMPLES)
+        self._counts = [0, 0]
+        self._limit_ms = 0.0
+
+    def observe(self, trial: list[int], settled: list[int]) -> None:
+        """Take in the samples of both versions over one window, in ms."""
+        if settled:
+            self._recent.append(settled)
+            self._baseline.extend(settled)
+            known = [sample for samples in self._recent for sample in samples]
+        else:
+            known = list(self._baseline)
+        if len(known) < MIN_SETTLED_SAMPLES:
+            return
+        self._limit_ms = SLOW_FACTOR * sorted(known)[int(SLOW_QUANTILE * (len(known) - 1))]
+        for sample in trial[:SLOW_SAMPLES_PER_WINDOW]:
+            self._judge(sample > self._limit_ms)
+
+    def describe(self) -> str:
+        """Return the counts in words."""
+        return f"{self._counts[0]} of {self._counts[1]} samples above {self._limit_ms:.0f} ms"
+
+    def _judge(self, slow: bool) -> None:
+        self._counts[0] += slow
+        self._counts[1] += 1
+        if slow:
+            self.evidence.add([math.log(chance / SLOW_CHANCE) for chance in SLOW_CHANCES])
+        else:
+            fine = [math.log((1 - chance) / (1 - SLOW_CHANCE)) for chance in SLOW_CHANCES]
+            self.evidence.add(fine)
+
+
+class StreamTests:
+    """Tests of one route at one level of load."""
+
+    def __init__(self) -> None:
+        self.tests = {
+            "errors": RateTest(MAX_FAULT_WEIGHT),
+            "crashes": CrashTest(),
+            "truncated streams": RateTest(MAX_FAULT_WEIGHT),
+            "wrong streams": RateTest(MAX_FAULT_WEIGHT),
+            "slow first token": SlowTest(),
+            "slow tokens": SlowTest(),
+        }
+
+    def observe(self, trial: Counts, settled: Counts) -> None:
+        """Take in the counts of one window."""
+        for name, field in (
+            ("errors", "errors"),
+            ("crashes", "crashes"),
+            ("truncated streams", "truncated"),
+            ("wrong streams", "wrong"),
+        ):
+            self.tests[name].observe(
+                getattr(trial, field), trial.requests, getattr(settled, field), settled.requests
+            )
+        self.tests["slow first token"].observe(trial.first_token_ms, settled.first_token_ms)
+        self.tests["slow tokens"].observe(trial.token_gap_ms, settled.token_gap_ms)
+
+
+class SequentialJudge(RolloutJudge):
+    """Judge whose chance to find a version bad that is no worse is at most `error_rate`."""
+
+    def __init__(self, error_rate: float):
+        self._error_rate = error_rate
+        self._streams: dict[Stream, StreamTests] = {}
+        self._requests: dict[RouteName, int] = {}
+        self._finding: Finding | None = None
+
+    def observe(self, comparison: Comparison) -> None:
+        """Take in the counts of one window."""
+        stream = comparison.stream
+        tests = self._streams.setdefault(stream, StreamTests())
+        tests.observe(comparison.trial, comparison.settled)
+        requests = self._requests.get(stream.route, 0)
+        self._requests[stream.route] = requests + comparison.trial.requests
+        self._finding = self._finding or self._find(stream)
+
+    def finding(self) -> Finding | None:
+        """Return why the version is bad; it stays once it is shown."""
+        return self._finding
+
+    def suspicious(self) -> bool:
+        """Return whether some test speaks against the version."""
+        return any(
+            test.evidence.log >= math.log(SUSPICION)
+            for tests in self._streams.values()
+            for test in tests.tests.values()
+        )
+
+    def requests(self, route: RouteName) -> int:
+        """Return the number of the version's requests that were compared on `route`."""
+        return self._requests.get(route, 0)
+
+    def _find(self, stream: Stream) -> Finding | None:
+        tests = self._streams[stream].tests
+        limit = math.log(len(tests) * len(self._streams) / self._error_rate)
+        for name, test in tests.items():
+            if test.evidence.log >= limit:
+                return Finding(route=stream.route, what=name, detail=test.describe())
+        return None
+
+
+class SequentialJudgePlugin(Plugin):
+    """Provide the rollout judge `sequential`.
+
+    `error_rate` is the stated chance that a version that is no worse is taken back.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.config.update(error_rate=0.001)
+
+    def register(self, registry: Registry) -> None:
+        """Register the factory of judges."""
+        registry.provide(Kind.ROLLOUT_JUDGE, "sequential", self.make)
+
+    def make(self) -> SequentialJudge:
+        """Return a judge without evidence."""
+        return SequentialJudge(self.config["error_rate"])
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds."""
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/bench/rollout_faults.py
@@ -0,0 +1,80 @@
+"""Ways in which versions behave in the rollout bench."""
+
+from typing import NamedTuple
+
+from nutmegdrum_coord.ids import RouteName
+
+ROUTES: dict[RouteName, float] = {
+    RouteName("chat"): 0.6,
+    RouteName("draft"): 0.3,
+    RouteName("notes"): 0.1,
+}
+"""Routes and their shares of all requests."""
+
+
+class Behaviour(NamedTuple):
+    """Faults of a version while its fault is on, as chances of each request.
+
+    Attributes
+    ----------
+    slow : float
+        Factor of its times.
+    after_ms : int
+        Time from its first request to the fault, in ms.
+    only_route : RouteName or None
+        Route on which the fault shows alone.
+    only_under_load : bool
+        Whether the fault shows at high load alone.
+    """
+
+    error: float = 0.0
+    crash: float = 0.0
+    truncated: float = 0.0
+    wrong: float = 0.0
+    slow: float = 1.0
+    after_ms: int = 0
+    only_route: RouteName | None = None
+    only_under_load: bool = False
+
+
+class World(NamedTuple):
+    """What happens beside the move, whichever version runs."""
+
+    engine_deaths: bool = False
+    load_spikes: bool = False
+    crashing_requests: bool = False
+    cut_off_vm: bool = False
+
+
+class Case(NamedTuple):
+    """One row of the table; `behaviour` is None for a good version."""
+
+    name: str
+    behaviour: Behaviour | None
+    world: World = World()
+    minutes: int = 15
+
+
+CASES = [
+    Case("errors at once", Behaviour(error=0.5)),
+    Case("few errors", Behaviour(error=0.05)),
+    Case("errors late", Behaviour(error=0.4, after_ms=300_000)),
+    Case("errors after the last step", Behaviour(error=0.3, after_ms=900_000)),
+    Case("errors under load", Behaviour(error=0.3, only_under_load=True), World(load_spikes=True)),
+    Case("errors on one route", Behaviour(error=0.4, only_route=RouteName("notes"))),
+    Case("slow", Behaviour(slow=2.0)),
+    Case("very slow late", Behaviour(slow=5.0, after_ms=300_000)),
+    Case("slow under load", Behaviour(slow=3.0, only_under_load=True), World(load_spikes=True)),
+    Case("truncated", Behaviour(truncated=0.1)),
+    Case("wrong", Behaviour(wrong=0.1)),
+    Case("crashes", Behaviour(crash=0.1)),
+    Case("crashes late, deaths beside", Behaviour(crash=0.1, after_ms=240_000), World(True)),
+    Case("errors, cut-off VM", Behaviour(error=0.4, after_ms=180_000), World(cut_off_vm=True)),
+    Case("good", None),
+    Case("good, little time", None, minutes=6),
+    Case("good, engine deaths", None, World(engine_deaths=True), minutes=12),
+    Case("good, deaths and little time", None, World(engine_deaths=True), minutes=7),
+    Case("good, load spikes", None, World(load_spikes=True)),
+    Case("good, crashing requests", None, World(crashing_requests=True)),
+    Case("good, all together", None, World(True, True, True), minutes=20),
+]
