--- a/packages/kernel/src/nutmegdrum/claimclient.py
+++ b/packages/kernel/src/nutmegdrum/claimclient.py
@@ -113,11 +113,15 @@
     def on_answer(self, answer: ClaimAnswer, now_ms: int) -> NextStep:
         """Take the answer to `ask` and return what to do.
 
+        An answer that comes after the request was given up changes nothing.
+
         Raises
         ------
         Refusal
             If the request is not run here; its verdict says what is known.
         """
+        if self.state is not CallState.ASKING:
+            raise dispatch_expired()
         match answer:
             case ClaimGranted():
                 self.state = CallState.OWNED
