--- a/packages/kernel/src/nutmegdrum/daemon.py
+++ b/packages/kernel/src/nutmegdrum/daemon.py
@@ -86,7 +86,7 @@
         return "; ".join(reason for reason in reasons if reason)
 
     def start(self) -> None:
-        """Bind all listeners, then start the roles.
+        """Bind all listeners, start the roles, then serve other VMs.
 
         Raises
         ------
@@ -94,11 +94,13 @@
             If an address cannot be bound.
         """
         for server in self._servers:
-            server.start()
-        self._ops.start()
+            server.bind()
         for role in (self.state, self.entry):
             if role is not None:
                 role.start()
+        self._ops.start()
+        for server in self._servers:
+            server.start()
         log_change("started", roles=[role.value for role in self.cfg.roles])
 
     def run(self) -> None:
--- a/packages/kernel/src/nutmegdrum/rpc.py
+++ b/packages/kernel/src/nutmegdrum/rpc.py
@@ -111,8 +111,8 @@
         self._thread = threading.Thread(target=self._serve, name=f"rpc-{address}", daemon=True)
         self._stopped = False
 
-    def start(self) -> None:
-        """Bind the address and serve on a thread.
+    def bind(self) -> None:
+        """Bind the address; callers wait until `start`.
 
         Raises
         ------
@@ -120,6 +120,9 @@
             If the address cannot be bound.
         """
         self.serverTransport.listen()
+
+    def start(self) -> None:
+        """Serve on a thread."""
         self._thread.start()
 
     def _serve(self) -> None:
