--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -10,15 +10,14 @@
 from nutmegdrum.admission import Admission
 from nutmegdrum.claimed_calls import ClaimWriter
 from nutmegdrum.gateway import Gateway
-from nutmegdrum.generations import Generations
 from nutmegdrum.heartbeat import Heartbeater
 from nutmegdrum.plain import PlainPath
 from nutmegdrum.plugins import Kind, Registry
-from nutmegdrum.relay import Relay
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import RpcClient
 from nutmegdrum.settings import Settings
 from nutmegdrum.state_client import StateClient
+from nutmegdrum.streaming import Streaming
 from nutmegdrum.ticker import Ticker
 from nutmegdrum.wsgi import HttpListener
 
@@ -55,8 +54,11 @@
         self.router = Router(cfg, clock, rng, registry)
         self.admission = Admission(cfg)
         self.state = StateClient(rpc, cfg.state_replicas)
-        relay = Relay(cfg, clock, rng, protocol, self.router.choose, registry)
-        self.generations = Generations(clock, self.admission, relay, random.SystemRandom())
+        self.streaming = Streaming(
+            cfg, clock, random.SystemRandom(), rpc, protocol, self.router, registry, self.admission
+        )
+        self.generations = self.streaming.generations
+        self.journal = self.streaming.journal
         claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim)
         self.plain = PlainPath(cfg, clock, self.router, claims)
         self.heartbeater = Heartbeater(cfg, clock, self.state, self.router, incarnation)
@@ -85,6 +87,7 @@
         """
         self._ticker.start()
         self._plain_ticker.start()
+        self.streaming.start()
         self._listener.start()
 
     def not_ready(self) -> str:
@@ -99,3 +102,4 @@
         self._ticker.stop()
         self._plain_ticker.stop()
         self._listener.stop()
+        self.streaming.stop()
--- a/packages/kernel/src/nutmegdrum/gateway.py
+++ b/packages/kernel/src/nutmegdrum/gateway.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 import msgspec
 from nutmegdrum_coord import verdict as v
-from nutmegdrum_coord.ids import GenerationId, IdempotencyKey
 
-from nutmegdrum import metrics, sse
-from nutmegdrum.completions import generation_request, parse_body, whole_answer
-from nutmegdrum.messages import Finish, GenerationRequest, Token
+from nutmegdrum.completion_path import CompletionPath, count_refusal
 from nutmegdrum.problems import problem_headers, problem_of
 from nutmegdrum.settings import WorkspaceSettings
 from nutmegdrum.workspaces import Workspaces
@@ -21,7 +18,6 @@
     StartResponse,
     read_body,
     request_headers,
-    status_line,
 )
 
 if TYPE_CHECKING:
@@ -29,7 +25,6 @@
 
 _COMPLETION_PATHS = {"/v1/completions": False, "/v1/chat/completions": True}
 _GENERATIONS_PREFIX = "/v1/generations/"
-_SSE_HEADERS = [("Content-Type", sse.CONTENT_TYPE), ("Cache-Control", "no-store")]
 
 
 class Gateway:
@@ -44,6 +39,7 @@
     def __init__(self, entry: EntryRole):
         self._entry = entry
         self._workspaces = Workspaces(entry.cfg.workspaces)
+        self._completions = CompletionPath(entry.generations, entry.rng)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request; every refusal becomes a problem document."""
@@ -59,10 +55,10 @@
         method = environ["REQUEST_METHOD"]
         if path in _COMPLETION_PATHS and method == "POST":
             chat = _COMPLETION_PATHS[path]
-            return self._complete(workspace, chat, headers, environ, start_response)
+            body = read_body(environ)
+            return self._completions.answer(workspace, chat, headers, body, start_response)
         if path.startswith(_GENERATIONS_PREFIX) and method == "DELETE":
-            generation = GenerationId(path.removeprefix(_GENERATIONS_PREFIX))
-            self._entry.generations.cancel(workspace.id, generation)
+            self._completions.cancel(workspace, path.removeprefix(_GENERATIONS_PREFIX))
             return Response(204).send(start_response)
         return self._plain(workspace, headers, environ).send(start_response)
 
@@ -80,76 +76,8 @@
         )
         return Response(reply.status, reply.body, list(reply.headers.items()))
 
-    def _complete(
-        self,
-        workspace: WorkspaceSettings,
-        chat: bool,
-        headers: dict[str, str],
-        environ: Environ,
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
-        body = parse_body(read_body(environ), chat)
-        key = IdempotencyKey(headers.get("idempotency-key", ""))
-        req = generation_request(body, workspace.id, key, chat, self._entry.rng)
-        answer = self._entry.generations.start(workspace, req, headers.get("last-event-id", ""))
-        if not body.stream:
-            return _whole(answer.generation, req, answer.items).send(start_response)
-        items = _first_ready(answer.items)
-        start_response(status_line(200), _SSE_HEADERS)
-        return _events(answer.generation, req, items)
-
-
-def _first_ready(items: Iterator[list[Token | Finish]]) -> Iterator[list[Token | Finish]]:
-    """Wait for the first batch, so that an early refusal still sets the status."""
-    first = next(items)
-
-    def chain() -> Iterator[list[Token | Finish]]:
-        try:
-            yield first
-            yield from items
-        finally:
-            items.close()
-
-    return chain()
-
-
-def _events(
-    generation: GenerationId, req: GenerationRequest, items: Iterator[list[Token | Finish]]
-) -> Iterator[bytes]:
-    encoder = sse.EventEncoder(generation, req.model, req.chat)
-    try:
-        for batch in items:
-            yield "".join(_encode(encoder, item) for item in batch).encode()
-        yield sse.DONE
-    except v.Refusal as refusal:
-        _count(refusal)
-        yield encoder.failure(problem_of(refusal))
-    finally:
-        items.close()
-
-
-def _encode(encoder: sse.EventEncoder, item: Token | Finish) -> str:
-    return encoder.token(item) if isinstance(item, Token) else encoder.finish(item)
-
-
-def _whole(
-    generation: GenerationId, req: GenerationRequest, items: Iterator[list[Token | Finish]]
-) -> Response:
-    texts: list[str] = []
-    for batch in items:
-        for item in batch:
-            if isinstance(item, Finish):
-                answer = whole_answer(generation, req, texts, item)
-                return Response(200, msgspec.json.encode(answer))
-            texts.append(item.text)
-    raise v.Refusal(v.BACKEND_LOST, v.Verdict.MAY_HAVE_RUN)
-
 
 def _refuse(refusal: v.Refusal) -> Response:
-    _count(refusal)
+    count_refusal(refusal)
     problem = problem_of(refusal)
     return Response(problem.status, msgspec.json.encode(problem), problem_headers(problem))
-
-
-def _count(refusal: v.Refusal) -> None:
-    metrics.REFUSALS.labels(refusal.why.code, refusal.verdict.value).inc()
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/holders.py
@@ -0,0 +1,61 @@
+"""Choice of the VMs that hold the copies of a stream."""
+
+from collections.abc import Collection, Sequence
+
+import xxhash
+from nutmegdrum_coord.ids import DataCentre, IdempotencyKey, VmId, WorkspaceId
+
+from nutmegdrum.settings import PeerSettings
+
+
+class HolderChoice:
+    """Order in which other entry VMs are asked to hold copies.
+
+    The VMs after this one in a ring are taken first, so that each VM writes to few others, which
+    keeps batches large, and all VMs hold alike many.
+
+    Parameters
+    ----------
+    vm : VmId
+        This VM.
+    data_centre : DataCentre
+        Where this VM is; copies go to other data centres if possible.
+    entry_vms : sequence of PeerSettings
+        All entry VMs.
+    """
+
+    def __init__(self, vm: VmId, data_centre: DataCentre, entry_vms: Sequence[PeerSettings]):
+        others = sorted((peer for peer in entry_vms if peer.vm != vm), key=lambda peer: peer.vm)
+        after = [peer for peer in others if peer.vm > vm]
+        before = [peer for peer in others if peer.vm < vm]
+        self._ring = after + before
+        self._places = {peer.vm: peer.data_centre for peer in self._ring}
+        self._vm = vm
+        self._data_centre = data_centre
+
+    @property
+    def others(self) -> list[VmId]:
+        """Return all other entry VMs, in the ring's order."""
+        return [peer.vm for peer in self._ring]
+
+    def choose(self, count: int, down: Collection[VmId], chosen: Sequence[VmId] = ()) -> list[VmId]:
+        """Return `chosen` and further VMs that are not `down`, at most `count` in all."""
+        holders = list(chosen)
+        while len(holders) < count:
+            vm = self._next(holders, down)
+            if vm is None:
+                break
+            holders.append(vm)
+        return holders
+
+    def _next(self, holders: Sequence[VmId], down: Collection[VmId]) -> VmId | None:
+        free = [vm for vm in self.others if vm not in holders and vm not in down]
+        used = {self._data_centre, *(self._places[vm] for vm in holders if vm in self._places)}
+        return min(free, key=lambda vm: self._places[vm] in used, default=None)
+
+    def by_key(self, workspace: WorkspaceId, key: IdempotencyKey) -> list[VmId]:
+        """Return all entry VMs, this one too, in the order that every VM uses for a key."""
+        return sorted(
+            [self._vm, *self.others],
+            key=lambda vm: xxhash.xxh64_intdigest(f"{workspace}/{key}/{vm}".encode()),
+        )
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/journal_reader.py
@@ -0,0 +1,267 @@
+"""Reading of streams' copies at other VMs: resume, takeover and idempotency keys."""
+
+from collections.abc import Callable, Iterable, Sequence
+from concurrent.futures import Future, ThreadPoolExecutor
+from random import Random
+from typing import Any, NamedTuple
+
+from nutmegdrum_coord import verdict as v
+from nutmegdrum_coord.ids import Epoch, GenerationId, IdempotencyKey, VmId, WorkspaceId
+from nutmegdrum_wire.gen.messages.ttypes import StreamCopy, StreamOpen
+
+from nutmegdrum.generation_ids import named_holders
+from nutmegdrum.holders import HolderChoice
+from nutmegdrum.journal_messages import (
+    EpochStart,
+    Position,
+    Snapshot,
+    StreamHead,
+    covers,
+    decode_head,
+    encode_head,
+    encode_snapshot,
+    newest_copy,
+    next_epoch,
+)
+from nutmegdrum.journal_service import JournalService
+from nutmegdrum.messages import GenerationRequest
+from nutmegdrum.rpc import PeerUnreachable, RpcClient
+from nutmegdrum.settings import PeerSettings
+
+_MAX_THREADS = 32
+_MAX_TAKEOVERS = 3
+_RETRY_AFTER_MS = 1_000
+
+
+class TakenOver(NamedTuple):
+    """Stream as its newest copy has it, under the new owner's epoch.
+
+    Attributes
+    ----------
+    holders : list of VmId
+        VMs that know the new epoch.
+    owner : VmId
+        The VM that ran the stream before.
+    """
+
+    generation: GenerationId
+    epoch: Epoch
+    head: StreamHead
+    tokens: list[str]
+    finish_reason: str
+    key: IdempotencyKey
+    holders: list[VmId]
+    owner: VmId
+
+
+class Survey(NamedTuple):
+    """Answers of several VMs; None from those that did not answer."""
+
+    copies: dict[VmId, StreamCopy | None]
+
+    @property
+    def found(self) -> list[StreamCopy]:
+        """Return the copies that there are."""
+        return [copy for copy in self.copies.values() if copy is not None and copy.found]
+
+    @property
+    def holders(self) -> list[VmId]:
+        """Return the VMs that have copies."""
+        return [vm for vm, copy in self.copies.items() if copy is not None and copy.found]
+
+    @property
+    def complete(self) -> bool:
+        """Return whether every VM answered."""
+        return None not in self.copies.values()
+
+
+class JournalReader:
+    """Calls to the journals of all entry VMs, this one's included.
+
+    Parameters
+    ----------
+    peers : sequence of PeerSettings
+        Other entry VMs.
+    rng : Random
+        Source of the epochs' low bits.
+    """
+
+    def __init__(
+        self,
+        vm: VmId,
+        peers: Sequence[PeerSettings],
+        rpc: RpcClient,
+        service: JournalService,
+        choice: HolderChoice,
+        rng: Random,
+        timeout_ms: int,
+    ):
+        self._vm = vm
+        self._addresses = {peer.vm: peer.address for peer in peers}
+        self._rpc = rpc
+        self._service = service
+        self._choice = choice
+        self._rng = rng
+        self._timeout_ms = timeout_ms
+        self._pool = ThreadPoolExecutor(_MAX_THREADS, thread_name_prefix="journal-read")
+
+    def fetch(self, generation: GenerationId, workspace: WorkspaceId) -> Survey:
+        """Return the copies at the VMs that the id names, or at all if these have none."""
+        everyone = [self._vm, *self._choice.others]
+        named = named_holders(generation, everyone)
+        survey = self._ask(named, "fetch_stream", generation, workspace)
+        if survey.found and survey.complete:
+            return survey
+        rest = [vm for vm in everyone if vm not in named]
+        return Survey(survey.copies | self._ask(rest, "fetch_stream", generation, workspace).copies)
+
+    def fetch_everywhere(self, generation: GenerationId, workspace: WorkspaceId) -> Survey:
+        """Return the copies at all entry VMs."""
+        everyone = [self._vm, *self._choice.others]
+        return self._ask(everyone, "fetch_stream", generation, workspace)
+
+    def take_over(
+        self, generation: GenerationId, workspace: WorkspaceId, position: Position
+    ) -> TakenOver:
+        """Become the owner of a stream, or get the whole of one that has finished.
+
+        Raises
+        ------
+        Refusal
+            `NOT_FOUND` if the workspace has no such generation, `JOURNAL_LOST` if no copy that
+            can be reached holds what the caller has.
+        """
+        survey = self.fetch(generation, workspace)
+        best = self._best(survey, position)
+        if best is None:
+            survey = self.fetch_everywhere(generation, workspace)
+            best = self._best(survey, position)
+        if best is None:
+            raise self._lost(survey)
+        if best.finish_reason:
+            return _taken_over(best, Epoch(best.epoch), survey.holders)
+        return self._raise_epoch(survey, generation, workspace, position)
+
+    def _best(self, survey: Survey, position: Position) -> StreamCopy | None:
+        best = newest_copy(survey.found)
+        if best is None:
+            return None
+        lineage = decode_head(best.request).lineage
+        return best if covers(lineage, len(best.tokens), position) else None
+
+    def _lost(self, survey: Survey) -> v.Refusal:
+        if survey.found or not survey.complete:
+            detail = "no copy that can be reached holds all that was sent"
+            return v.Refusal(v.JOURNAL_LOST, v.Verdict.MAY_HAVE_RUN, _RETRY_AFTER_MS, detail)
+        detail = "no such generation"
+        return v.Refusal(v.NOT_FOUND, v.Verdict.MAY_HAVE_RUN, detail=detail)
+
+    def _raise_epoch(
+        self,
+        survey: Survey,
+        generation: GenerationId,
+        workspace: WorkspaceId,
+        position: Position,
+    ) -> TakenOver:
+        for _ in range(_MAX_TAKEOVERS):
+            newest = max(copy.epoch for copy in survey.found)
+            epoch = next_epoch(Epoch(newest), self._rng)
+            holders = survey.holders
+            survey = self._ask(holders, "take_over_stream", generation, workspace, int(epoch))
+            best = self._best(survey, position)
+            if best is None:
+                raise self._lost(survey)
+            if all(copy.epoch == epoch for copy in survey.found):
+                return _taken_over(best, epoch, survey.holders)
+        detail = "another VM takes the stream over"
+        raise v.Refusal(v.STALE_EPOCH, v.Verdict.MAY_HAVE_RUN, _RETRY_AFTER_MS, detail)
+
+    def find(self, workspace: WorkspaceId, key: IdempotencyKey, count: int) -> StreamCopy | None:
+        """Return the newest copy of the generation under a key, or None."""
+        vms = self._choice.by_key(workspace, key)[:count]
+        return newest_copy(self._ask(vms, "find_stream", workspace, key).found)
+
+    def claim_key(
+        self,
+        generation: GenerationId,
+        req: GenerationRequest,
+        head: StreamHead,
+        epoch: Epoch,
+        count: int,
+    ) -> StreamCopy | None:
+        """Bind a request's key to `generation`; return the other generation's copy if it has it.
+
+        All VMs ask the same VMs in the same order, so that of two that start under one key the
+        second finds the first at the first VM that both reach.
+        """
+        snapshot = Snapshot(head=encode_head(head))
+        opened = StreamOpen(
+            generation=generation,
+            workspace=req.workspace,
+            epoch=int(epoch),
+            idempotency_key=req.key,
+            request=encode_snapshot(snapshot),
+            owner=self._vm,
+        )
+        bound: list[VmId] = []
+        for vm in self._choice.by_key(req.workspace, req.key):
+            if len(bound) == count:
+                break
+            copy = self._call(vm, "open_stream", opened)
+            if copy is None:
+                continue
+            if copy.generation != generation:
+                self.close(generation, bound)
+                return copy
+            bound.append(vm)
+        return None
+
+    def close(self, generation: GenerationId, vms: Iterable[VmId]) -> None:
+        """Tell `vms` that this VM does not start, or has taken over, a generation."""
+        for vm in vms:
+            self._pool.submit(self._call, vm, "close_stream", generation)
+
+    def open(self, opened: StreamOpen, vms: Sequence[VmId]) -> Survey:
+        """Install a snapshot at `vms` and return their answers."""
+        return self._ask(vms, "open_stream", opened)
+
+    def _ask(self, vms: Sequence[VmId], method: str, *args: Any) -> Survey:
+        futures: dict[VmId, Future[StreamCopy | None]] = {
+            vm: self._pool.submit(self._call, vm, method, *args) for vm in vms
+        }
+        return Survey({vm: fut.result() for vm, fut in futures.items()})
+
+    def _call(self, vm: VmId, method: str, *args: Any) -> StreamCopy | None:
+        if vm == self._vm:
+            return self._call_here(method, *args)
+        try:
+            return self._rpc.call(self._addresses[vm], method, *args, timeout_ms=self._timeout_ms)
+        except (PeerUnreachable, v.Refusal):
+            return None
+
+    def _call_here(self, method: str, *args: Any) -> StreamCopy | None:
+        if method == "take_over_stream":
+            return self._service.take_over_stream(self._vm, *args)
+        here: Callable[..., StreamCopy | None] = getattr(self._service, method)
+        return here(*args)
+
+
+def _taken_over(copy: StreamCopy, epoch: Epoch, holders: list[VmId]) -> TakenOver:
+    head = decode_head(copy.request)
+    return TakenOver(
+        generation=GenerationId(copy.generation),
+        epoch=epoch,
+        head=_extend(head, epoch, len(copy.tokens), copy.finish_reason),
+        tokens=copy.tokens,
+        finish_reason=copy.finish_reason,
+        key=head.request.key,
+        holders=holders,
+        owner=VmId(copy.owner),
+    )
+
+
+def _extend(head: StreamHead, epoch: Epoch, length: int, finish_reason: str) -> StreamHead:
+    if finish_reason:
+        return head
+    lineage = [*head.lineage, EpochStart(epoch, length)]
+    return StreamHead(request=head.request, version=head.version, lineage=lineage)
--- a/packages/kernel/src/nutmegdrum/metrics.py
+++ b/packages/kernel/src/nutmegdrum/metrics.py
@@ -17,3 +17,26 @@
 VIEW_POSITION = Gauge("nutmegdrum_view_position", "Log position of the view in force")
 NOTE_IN_FORCE = Gauge("nutmegdrum_note_in_force", "Number of the release note in force")
 PEER_CALLS = Counter("nutmegdrum_peer_calls", "Calls to other VMs by method", ["method", "outcome"])
+HOLDERS_LOST = Counter("nutmegdrum_journal_holders_lost", "Holders that did not answer in time")
+JOURNAL_APPENDS = Counter("nutmegdrum_journal_appends", "Appends that holders answered")
+JOURNAL_BYTES = Gauge("nutmegdrum_journal_bytes", "Memory of the copies held for other VMs")
+JOURNAL_COPIES = Gauge("nutmegdrum_journal_copies", "Copies held for other VMs")
+ATTEMPTS = Counter("nutmegdrum_attempts", "Attempts at generations by outcome", ["outcome"])
+LOSSES = Counter("nutmegdrum_losses", "Attempts that were lost, by kind", ["kind"])
+TAKEOVERS = Counter(
+    "nutmegdrum_takeovers", "Streams taken over from other VMs, by outcome", ["outcome"]
+)
+TOKENS_DROPPED = Counter(
+    "nutmegdrum_tokens_dropped", "Tokens of older attempts, repeated ones and those after a gap"
+)
+RECOVERY_PREFILL_TOKENS = Counter(
+    "nutmegdrum_recovery_prefill_tokens", "Generated tokens that recoveries had prefilled again"
+)
+RECOVERY_PREFILL_CHARS = Counter(
+    "nutmegdrum_recovery_prefill_chars", "Characters of prompts that recoveries had prefilled again"
+)
+RESUME_S = Histogram(
+    "nutmegdrum_resume_seconds",
+    "Time without output after a loss, from the last token before it to the first after it",
+    buckets=_LATENCY_BUCKETS_S,
+)
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/recovery.py
@@ -0,0 +1,71 @@
+"""Budget of recoveries over one daemon, so that the loss of many engines brings no storm."""
+
+import heapq
+from typing import NamedTuple
+
+from nutmegdrum_coord.clock import ElapsedMs
+
+from nutmegdrum.messages import Priority
+
+MIN_BURST = 16
+_MS_PER_S = 1_000
+_RANKS = {Priority.URGENT: 0, Priority.NORMAL: 1, Priority.BATCH: 2}
+
+
+class _Waiting(NamedTuple):
+    rank: int
+    silent_since: ElapsedMs
+    number: int
+
+
+class RecoveryBudget:
+    """Recoveries that may start now; the others wait in order of urgency, then of waiting time.
+
+    Parameters
+    ----------
+    per_s : int
+        Recoveries that may start a second; as many may start at once after a quiet time.
+    """
+
+    def __init__(self, per_s: int):
+        self._per_s = per_s
+        self._burst = float(max(per_s, MIN_BURST))
+        self._credit = self._burst
+        self._filled_ms: int | None = None
+        self._queue: list[_Waiting] = []
+        self._left: set[int] = set()
+        self._number = 0
+
+    def enter(self, priority: Priority, silent_since: ElapsedMs) -> int:
+        """Queue a recovery of a stream without output since `silent_since`; return its number."""
+        self._number += 1
+        heapq.heappush(self._queue, _Waiting(_RANKS[priority], silent_since, self._number))
+        return self._number
+
+    def leave(self, number: int) -> None:
+        """Withdraw a recovery that has not started."""
+        self._left.add(number)
+
+    def grant(self, now_ms: ElapsedMs) -> list[int]:
+        """Return the numbers of the recoveries that start now."""
+        self._fill(now_ms)
+        granted = []
+        while self._queue and self._credit >= 1:
+            number = heapq.heappop(self._queue).number
+            if number in self._left:
+                self._left.discard(number)
+                continue
+            self._credit -= 1
+            granted.append(number)
+        return granted
+
+    def next_ms(self) -> int:
+        """Return the time until the next recovery may start, in ms."""
+        missing = max(0.0, 1 - self._credit)
+        return int(missing * _MS_PER_S / self._per_s) + 1
+
+    def _fill(self, now_ms: ElapsedMs) -> None:
+        if self._filled_ms is not None:
+            earned = (now_ms - self._filled_ms) * self._per_s / _MS_PER_S
+            self._credit = min(self._burst, self._credit + earned)
+        self._filled_ms = now_ms
--- a/packages/kernel/src/nutmegdrum/routing_query.py
+++ b/packages/kernel/src/nutmegdrum/routing_query.py
@@ -1,7 +1,6 @@
 """Question that a request puts to routing, and the answer."""
 
-from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import msgspec
 from nutmegdrum_coord.ids import (
@@ -14,7 +13,7 @@
 )
 from nutmegdrum_coord.verdict import Reason
 
-from nutmegdrum.messages import Priority
+from nutmegdrum.messages import LossKind, Priority
 from nutmegdrum.settings import BackendSettings
 
 
@@ -50,5 +49,21 @@
     version: VersionName
 
 
-Choose = Callable[[RouteQuery], Choice | Reason]
-"""Routing as the relay sees it; a `Reason` says why nothing can serve the query."""
+class Routing(Protocol):
+    """Routing as streams see it."""
+
+    def choose(self, query: RouteQuery) -> Choice | Reason:
+        """Return a backend server and version, or why nothing can serve the query."""
+        ...
+
+    def started(self, backend: BackendId, isolated: bool = False) -> None:
+        """Count an attempt that begins."""
+        ...
+
+    def finished(self, backend: BackendId, ok: bool, isolated: bool = False) -> None:
+        """Count the end of an attempt that `started` counted."""
+        ...
+
+    def lost(self, backend: BackendId, kind: LossKind) -> None:
+        """Suspect a backend server that stopped serving."""
+        ...
--- a/packages/kernel/src/nutmegdrum/sse.py
+++ b/packages/kernel/src/nutmegdrum/sse.py
@@ -5,8 +5,10 @@
 import msgspec
 from nutmegdrum_coord.ids import GenerationId, ModelName
 
+from nutmegdrum.event_ids import event_id_prefix
 from nutmegdrum.messages import Finish, Token
 from nutmegdrum.problems import Problem
+from nutmegdrum.session import ReadBatch
 
 CONTENT_TYPE = "text/event-stream"
 DONE = b"data: [DONE]\n\n"
@@ -30,16 +32,23 @@
         self._generation = generation
         self._data = f'data: {head}, "choices": [{{"index": 0, {text_open}'
         self._close = "}" if chat else ""
-
-    def token(self, token: Token) -> str:
-        """Return the event of one token."""
-        return (
-            f"id: {self._generation}:{token.index}\n{self._data}{_quote(token.text)}{self._close}"
-            ', "finish_reason": null}]}\n\n'
-        )
-
-    def finish(self, finish: Finish) -> str:
-        """Return the event that says why the generation ended."""
+        self._token_close = f'{self._close}, "finish_reason": null}}]}}\n\n'
+        self._epoch = -1
+        self._id = ""
+
+    def batch(self, part: ReadBatch) -> bytes:
+        """Return the events of tokens that arrived together, for one write."""
+        if part.epoch != self._epoch:
+            self._epoch = part.epoch
+            self._id = "id: " + event_id_prefix(self._generation, part.epoch)
+        return "".join(map(self._event, part.items)).encode()
+
+    def _event(self, item: Token | Finish) -> str:
+        if isinstance(item, Finish):
+            return self._finish(item)
+        return f"{self._id}{item.index}\n{self._data}{_quote(item.text)}{self._token_close}"
+
+    def _finish(self, finish: Finish) -> str:
         return f'{self._data}""{self._close}, "finish_reason": "{finish.reason.value}"}}]}}\n\n'
 
     def failure(self, problem: Problem) -> bytes:
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/streaming.py
@@ -0,0 +1,97 @@
+"""Streams of one entry VM, put together: relay, journal and their threads."""
+
+import time
+from random import Random
+
+from nutmegdrum_coord.clock import Clock
+
+from nutmegdrum.admission import Admission
+from nutmegdrum.backends import BackendProtocol
+from nutmegdrum.generations import Generations
+from nutmegdrum.holders import HolderChoice
+from nutmegdrum.journal_reader import JournalReader
+from nutmegdrum.journal_sender import JournalSender
+from nutmegdrum.journal_service import JournalService
+from nutmegdrum.plugins import Registry
+from nutmegdrum.recovery import RecoveryBudget
+from nutmegdrum.relay import Relay
+from nutmegdrum.routing_query import Routing
+from nutmegdrum.rpc import RpcClient
+from nutmegdrum.sessions import Sessions
+from nutmegdrum.settings import Settings
+from nutmegdrum.suspicion import Suspicion
+from nutmegdrum.ticker import Ticker
+from nutmegdrum.turns import RecoveryTurns
+
+REAP_PERIOD_MS = 500
+
+
+class Streaming:
+    """All that one entry VM needs for streams.
+
+    Parameters
+    ----------
+    rng : Random
+        Source of ids that cannot be guessed, and of epochs.
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        rng: Random,
+        rpc: RpcClient,
+        protocol: BackendProtocol,
+        routing: Routing,
+        registry: Registry,
+        admission: Admission,
+    ):
+        streams = cfg.streams
+        vm = cfg.vm.id
+        peers = [peer for peer in cfg.entry_vms if peer.vm != vm]
+        choice = HolderChoice(vm, cfg.vm.data_centre, cfg.entry_vms)
+        turns = RecoveryTurns(clock, RecoveryBudget(streams.recoveries_per_s))
+        self.suspicion = Suspicion(streams)
+        self._sender = JournalSender(vm, streams, rpc, peers, choice)
+        self.relay = Relay(
+            streams,
+            clock,
+            protocol,
+            routing,
+            registry,
+            self._sender,
+            turns,
+            self.suspicion,
+            time.sleep,
+        )
+        self.sessions = Sessions(clock, self.relay, streams.caller_grace, streams.journal_retention)
+        self.journal = JournalService(clock, streams.journal_retention, self.sessions.on_taken_over)
+        reader = JournalReader(vm, peers, rpc, self.journal, choice, rng, streams.journal_timeout)
+        self.generations = Generations(
+            streams,
+            clock,
+            admission,
+            self.relay,
+            self.sessions,
+            reader,
+            self._sender,
+            choice,
+            rng,
+            time.sleep,
+            vm,
+        )
+        self._reaper = Ticker("streams", REAP_PERIOD_MS, self._reap)
+
+    def start(self) -> None:
+        """Start the threads."""
+        self._sender.start()
+        self._reaper.start()
+
+    def stop(self) -> None:
+        """Stop the threads."""
+        self._reaper.stop()
+        self._sender.stop()
+
+    def _reap(self) -> None:
+        self.sessions.reap()
+        self.journal.expire()
--- a/packages/kernel/src/nutmegdrum/streams.py
+++ b/packages/kernel/src/nutmegdrum/streams.py
@@ -18,6 +18,9 @@
 ATTEMPTS_PER_EPOCH = 1_000
 """Attempt numbers of one owner; they rise with the epoch, so that two owners never share one."""
 
+MAX_LOSSES = 8
+"""Losses that a stream remembers, to avoid their backend servers."""
+
 UNHARMED = frozenset({LossKind.BUSY, LossKind.NOT_LOADED, LossKind.REFUSED})
 """Losses in which the request can't have harmed the backend server."""
 
@@ -48,7 +51,7 @@
     epoch : Epoch
         Ownership of the stream; each takeover has a higher one.
     max_attempts : int
-        Attempts by this owner before the stream fails.
+        Lost attempts in a row without a token before the stream fails.
     version : VersionName or None
         Version that served the tokens so far.
     tokens : sequence of str
@@ -72,6 +75,7 @@
         self.finish = finish
         self.state = StreamState.FINISHED if finish else StreamState.IDLE
         self.attempts = 0
+        self.fruitless = 0
         self.losses: list[Loss] = []
         self.dropped = 0
         self.backend: BackendId | None = None
@@ -88,8 +92,18 @@
         """Return the version that must serve the rest; None while no token was accepted."""
         return self._version if self.tokens else None
 
-    def query(self) -> RouteQuery:
-        """Return the question to routing for the next attempt."""
+    def query(self, isolated: bool = True, exclude: bool = True) -> RouteQuery:
+        """Return the question to routing for the next attempt.
+
+        Parameters
+        ----------
+        isolated : bool
+            Whether to run apart from other suspects if a backend server was lost.
+        exclude : bool
+            Whether to avoid the backend servers that this stream was lost on.
+        """
+        excluded = {loss.backend for loss in self.losses} if exclude else ()
+        suspect = any(loss.kind not in UNHARMED for loss in self.losses)
         return RouteQuery(
             model=self.req.model,
             workspace=self.req.workspace,
@@ -98,8 +112,8 @@
             version=self.version,
             adapter=self.req.adapter,
             priority=self.req.priority,
-            excluded=frozenset(loss.backend for loss in self.losses),
-            isolated=any(loss.kind not in UNHARMED for loss in self.losses),
+            excluded=frozenset(excluded),
+            isolated=isolated and suspect,
         )
 
     def begin(self, backend: BackendId, version: VersionName) -> EngineCall:
@@ -152,6 +166,7 @@
         if item.index != len(self.tokens):
             return False
         self.tokens.append(item.text)
+        self.fruitless = 0
         return True
 
     def _end(self, finish: Finish) -> bool:
@@ -167,12 +182,14 @@
             return False
         assert self.backend is not None
         self.losses.append(Loss(attempt, self.backend, kind, now_ms))
+        del self.losses[:-MAX_LOSSES]
+        self.fruitless += kind not in UNHARMED
         self.state = StreamState.IDLE
         return True
 
     def spent(self) -> Reason | None:
         """Return why no further attempt may start, or None if one may."""
-        return BACKEND_LOST if self.attempts >= self._max_attempts else None
+        return BACKEND_LOST if self.fruitless >= self._max_attempts else None
 
     def fail(self) -> None:
         """End the stream without a finish; nothing is accepted from now on."""
