Keep suspects apart on all request paths and quarantine the culprit

Reservations in the replicated state isolate a suspect's next try over all entry VMs. Seen failing first in the state machine: a reservation dropped by another copy's crash, and an innocent request named for a copy of the culprit that was running beside it; the culprit is now named only after 300 ms without another suspect's report. Ruled out: naming at the second crash whatever else ran. Limit: copies that run elsewhere at the first crash are not stopped.

--- a/packages/coord/src/nutmegdrum_coord/quarantine.py
+++ b/packages/coord/src/nutmegdrum_coord/quarantine.py
@@ -13,6 +13,7 @@
 QUARANTINE_MS = 3_600_000
 TRY_MS = 5_000
 SAME_CRASH_MS = 5_000
+ACCUSED_MS = 300
 MAX_SUSPECTS = 10_000
 MAX_QUARANTINES = 10_000
 FEW_TOKENS = 2
@@ -76,6 +77,18 @@
     here: bool
 
 
+class Accused(Answer):
+    """The request will be quarantined unless another suspect turns out to have run there.
+
+    Attributes
+    ----------
+    wait_ms : int
+        Time after which a `ReserveTry` tells the outcome, in ms.
+    """
+
+    wait_ms: int
+
+
 class Quarantined(Answer):
     """The request is refused from now on.
 
@@ -88,7 +101,7 @@
     remaining_ms: int
 
 
-QuarantineAnswer = SuspectNoted | TryGranted | TryBusy | Quarantined
+QuarantineAnswer = SuspectNoted | TryGranted | TryBusy | Accused | Quarantined
 
 
 class _Crash(msgspec.Struct, frozen=True):
@@ -103,9 +116,15 @@
     until: LogMs
 
 
+class _Accusation(msgspec.Struct, frozen=True):
+    backend: BackendId
+    at: LogMs
+
+
 class _Snapshot(msgspec.Struct):
     crashes: list[tuple[Fingerprint, list[_Crash]]]
     tries: dict[BackendId, _Try]
+    accusations: dict[Fingerprint, _Accusation]
     quarantines: list[tuple[Fingerprint, LogMs]]
 
 
@@ -114,7 +133,9 @@
 
     All that a backend server ran when it died are suspects. Each suspect's next try reserves a
     backend server for itself, over all entry VMs, so that a second death there names the culprit.
-    A try that gets past the point of the last crash clears its request.
+    Copies of a request that were running elsewhere at its first crash hold no reservation; if one
+    of them was there too, nobody is named yet. A try that gets past the point of the last crash
+    clears its request.
 
     Parameters
     ----------
@@ -129,11 +150,13 @@
         self._quarantine_ms = quarantine_ms
         self._crashes: OrderedDict[Fingerprint, list[_Crash]] = OrderedDict()
         self._tries: dict[BackendId, _Try] = {}
+        self._accusations: dict[Fingerprint, _Accusation] = {}
         self._quarantines: OrderedDict[Fingerprint, LogMs] = OrderedDict()
 
     def apply(self, ctx: Context, command: Any) -> QuarantineAnswer:
         """Apply one command and return its answer."""
         self._expire(ctx)
+        self._convict(ctx)
         until = self._quarantines.get(command.fingerprint)
         if until is not None:
             return Quarantined(remaining_ms=until - ctx.at)
@@ -143,9 +166,9 @@
             return self._reserve(ctx.at, command)
         return self._end(command)
 
-    def suspects(self, at: LogMs) -> list[Fingerprint]:
-        """Return the requests under suspicion at log time `at`."""
-        return [f for f, crashes in self._crashes.items() if at - crashes[-1].at < SUSPICION_MS]
+    def suspects(self) -> list[Fingerprint]:
+        """Return the requests under suspicion, of which some may have expired by now."""
+        return list(self._crashes)
 
     def quarantines(self, at: LogMs) -> dict[Fingerprint, int]:
         """Return the requests in quarantine at log time `at`, with the remaining time in ms."""
@@ -156,6 +179,7 @@
         return _Snapshot(
             crashes=list(self._crashes.items()),
             tries=self._tries,
+            accusations=self._accusations,
             quarantines=list(self._quarantines.items()),
         )
 
@@ -164,6 +188,7 @@
         snapshot = msgspec.msgpack.decode(state, type=_Snapshot)
         self._crashes = OrderedDict(snapshot.crashes)
         self._tries = snapshot.tries
+        self._accusations = snapshot.accusations
         self._quarantines = OrderedDict(snapshot.quarantines)
 
     def _report(self, ctx: Context, command: ReportCrash) -> QuarantineAnswer:
@@ -173,11 +198,16 @@
             self._crashes[command.fingerprint] = earlier
             return SuspectNoted()
         isolated = self._isolated(command)
-        self._drop_tries(command.fingerprint)
+        if isolated:
+            del self._tries[command.backend]
         crashes = [*earlier, crash]
-        if earlier and isolated and _is_culprit(crashes):
-            return self._quarantine(ctx, command, crashes)
         self._crashes[command.fingerprint] = crashes
+        shared = self._shared(command, ctx.at)
+        if earlier and isolated and not shared and _is_culprit(crashes):
+            self._accusations[command.fingerprint] = _Accusation(command.backend, ctx.at)
+            return Accused(wait_ms=ACCUSED_MS)
+        if earlier:
+            self._acquit(command.backend)
         if len(self._crashes) > MAX_SUSPECTS:
             self._crashes.popitem(last=False)
         return SuspectNoted()
@@ -186,17 +216,33 @@
         reserved = self._tries.get(command.backend)
         return reserved is not None and reserved.fingerprint == command.fingerprint
 
-    def _quarantine(
-        self, ctx: Context, command: ReportCrash, crashes: list[_Crash]
-    ) -> QuarantineAnswer:
-        self._quarantines[command.fingerprint] = LogMs(ctx.at + self._quarantine_ms)
-        if len(self._quarantines) > MAX_QUARANTINES:
-            self._quarantines.popitem(last=False)
-        backends = ", ".join(crash.backend for crash in crashes)
-        ctx.audit("request quarantined", command.fingerprint, crashed=backends)
-        return Quarantined(remaining_ms=self._quarantine_ms)
+    def _shared(self, command: ReportCrash, at: LogMs) -> bool:
+        """Return whether another suspect was lost with the same backend server just now."""
+        for fingerprint, crashes in self._crashes.items():
+            last = crashes[-1]
+            just_now = last.backend == command.backend and at - last.at < ACCUSED_MS
+            if fingerprint != command.fingerprint and len(crashes) > 1 and just_now:
+                return True
+        return False
+
+    def _acquit(self, backend: BackendId) -> None:
+        """Drop accusations of those that were on `backend` beside an unreserved suspect."""
+        self._accusations = {f: a for f, a in self._accusations.items() if a.backend != backend}
+
+    def _convict(self, ctx: Context) -> None:
+        due = [f for f, a in self._accusations.items() if ctx.at - a.at >= ACCUSED_MS]
+        for fingerprint in due:
+            del self._accusations[fingerprint]
+            self._quarantines[fingerprint] = LogMs(ctx.at + self._quarantine_ms)
+            if len(self._quarantines) > MAX_QUARANTINES:
+                self._quarantines.popitem(last=False)
+            crashes = self._crashes.pop(fingerprint, [])
+            backends = ", ".join(crash.backend for crash in crashes)
+            ctx.audit("request quarantined", fingerprint, crashed=backends)
 
     def _reserve(self, at: LogMs, command: ReserveTry) -> QuarantineAnswer:
+        if command.fingerprint in self._accusations:
+            return TryBusy(here=False)
         for backend, other in self._tries.items():
             mine = other.fingerprint == command.fingerprint
             if mine and (other.vm, backend) != (command.vm, command.backend):
--- a/packages/kernel/src/nutmegdrum/claimed_calls.py
+++ b/packages/kernel/src/nutmegdrum/claimed_calls.py
@@ -7,9 +7,10 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
+import msgspec
 from nutmegdrum_coord.claims import ClaimAnswer, ClaimKey, ClaimOutcome, FinishClaim, ReleaseClaim
 from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import BackendId, IdempotencyKey, IncarnationId, VmId
+from nutmegdrum_coord.ids import BackendId, Fingerprint, IdempotencyKey, IncarnationId, VmId
 from nutmegdrum_coord.parts import Command
 from nutmegdrum_coord.verdict import (
     BACKEND_LOST,
@@ -28,10 +29,11 @@
     dispatch_expired,
     no_quorum,
 )
+from nutmegdrum.crashguard import CrashGuard
+from nutmegdrum.logs import log_change
 from nutmegdrum.messages import BackendLost
 from nutmegdrum.plain_http import PlainCall, PlainReply, PlainSender, SendForbidden
-from nutmegdrum.routing import Router
-from nutmegdrum.routing_query import Choice, RouteQuery
+from nutmegdrum.routing_query import Choice, RouteQuery, Routing
 from nutmegdrum.settings import Settings
 
 MAX_KEY_CHARACTERS = 255
@@ -70,19 +72,28 @@
     """
 
     def __init__(
-        self, cfg: Settings, clock: Clock, router: Router, state: ClaimWriter, sender: PlainSender
+        self,
+        cfg: Settings,
+        clock: Clock,
+        routing: Routing,
+        guard: CrashGuard,
+        state: ClaimWriter,
+        sender: PlainSender,
     ):
         self._cfg = cfg
         self._clock = clock
-        self._router = router
+        self._routing = routing
         self._state = state
         self._sender = sender
+        self._guard = guard
         self._backlog = ClaimBacklog()
         self._running: dict[ClaimKey, threading.Event] = {}
         self._sent: OrderedDict[ClaimKey, None] = OrderedDict()
         self._lock = threading.Lock()
 
-    def handle(self, query: RouteQuery, call: PlainCall, route: str) -> PlainReply:
+    def handle(
+        self, query: RouteQuery, call: PlainCall, route: str, fingerprint: Fingerprint
+    ) -> PlainReply:
         """Run the call, or return what an earlier send of it got.
 
         Raises
@@ -99,7 +110,7 @@
         with self._lock:
             self._running[identity.key] = done
         try:
-            return self._dispatch(claim, identity.key, query, call)
+            return self._dispatch(claim, identity.key, query, call, fingerprint)
         finally:
             with self._lock:
                 self._running.pop(identity.key, None)
@@ -148,7 +159,12 @@
             done.wait(claim.next_poll_ms() / _MS_PER_S)
 
     def _dispatch(
-        self, claim: ClaimCall, key: ClaimKey, query: RouteQuery, call: PlainCall
+        self,
+        claim: ClaimCall,
+        key: ClaimKey,
+        query: RouteQuery,
+        call: PlainCall,
+        fingerprint: Fingerprint,
     ) -> PlainReply:
         excluded: frozenset[BackendId] = frozenset()
         while True:
@@ -159,31 +175,37 @@
                 self._end(claim.give_up())
                 raise dispatch_expired() from None
             except BackendLost as exc:
-                self._router.lost(exc.backend, exc.kind)
+                self._routing.lost(exc.backend, exc.kind)
                 if claim.state is CallState.SENT:
                     self._end(claim.finish(None))
+                    self._note_crash(fingerprint, exc)
                     raise _lost(exc) from exc
                 excluded |= {exc.backend}
                 continue
             self._end(claim.finish(_outcome(reply)))
+            self._guard.ended(fingerprint, cleared=True)
             return reply
 
     def _choose(
         self, claim: ClaimCall, query: RouteQuery, excluded: frozenset[BackendId]
     ) -> Choice:
-        wanted = RouteQuery(
-            model=query.model,
-            workspace=query.workspace,
-            prompt=query.prompt,
-            generation=query.generation,
-            excluded=excluded,
-        )
-        choice = self._router.choose(wanted)
+        try:
+            choice = self._routing.choose(msgspec.structs.replace(query, excluded=excluded))
+        except Refusal as refusal:
+            self._end(claim.give_up())
+            refusal.verdict = Verdict.NOT_RUN
+            raise
         if isinstance(choice, Reason):
             self._end(claim.give_up())
             raise Refusal(choice, Verdict.NOT_RUN, NO_BACKEND_RETRY_MS, _NO_BACKEND_DETAIL)
         return choice
 
+    def _note_crash(self, fingerprint: Fingerprint, loss: BackendLost) -> None:
+        try:
+            self._guard.lost(fingerprint, loss.backend, loss.kind)
+        except Refusal:
+            log_change("quarantined", fingerprint=fingerprint, backend=loss.backend)
+
     def _send(self, claim: ClaimCall, key: ClaimKey, choice: Choice, call: PlainCall) -> PlainReply:
         def may_send() -> bool:
             with self._lock:
@@ -193,7 +215,7 @@
             return claim.may_send(self._clock.elapsed_ms())
 
         backend = choice.backend
-        self._router.started(backend.id)
+        self._routing.started(backend.id)
         ok = False
         try:
             reply = self._sender.send(
@@ -206,7 +228,7 @@
             ok = True
             return reply
         finally:
-            self._router.finished(backend.id, ok)
+            self._routing.finished(backend.id, ok)
 
     def _end(self, command: FinishClaim | ReleaseClaim | None) -> None:
         """Commit a claim's end now if that works, else later."""
--- a/packages/kernel/src/nutmegdrum/crashguard.py
+++ b/packages/kernel/src/nutmegdrum/crashguard.py
@@ -1,13 +1,16 @@
 """Keeps suspects apart and reports their crashes, for all request paths of an entry VM."""
 
 import threading
+import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from enum import Enum
 
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import BackendId, Fingerprint, VmId
 from nutmegdrum_coord.parts import Command
 from nutmegdrum_coord.quarantine import (
+    Accused,
     EndTry,
     QuarantineAnswer,
     Quarantined,
@@ -15,12 +18,19 @@
     ReserveTry,
     TryBusy,
 )
-from nutmegdrum_coord.verdict import Refusal
+from nutmegdrum_coord.verdict import Refusal, Verdict
 
-from nutmegdrum.messages import LossKind
+from nutmegdrum.fingerprints import generation_fingerprint
+from nutmegdrum.messages import BackendLost, GenerationRequest, LossKind
 from nutmegdrum.suspects import CLEARED_AFTER_TOKENS, CRASHES, Suspects
 from nutmegdrum.view import View
 
+ACCUSED_MARGIN_MS = 20
+_MS_PER_S = 1_000
+
+SILENCE_MS = 2_000
+"""Time for which the state replicas are not asked again after they did not answer, in ms."""
+
 
 class TryStep(Enum):
     """What a request path does with the backend server that routing chose."""
@@ -39,11 +49,21 @@
         Commits a command and returns its answer; raises `Refusal` if that is not certain.
     """
 
-    def __init__(self, vm: VmId, clock: Clock, propose: Callable[[Command], QuarantineAnswer]):
+    def __init__(
+        self,
+        vm: VmId,
+        clock: Clock,
+        propose: Callable[[Command], QuarantineAnswer],
+        sleep: Callable[[float], object] = time.sleep,
+    ):
         self._vm = vm
+        self._sleep = sleep
         self._clock = clock
         self._propose = propose
         self._suspects = Suspects()
+        self._silent_until_ms = 0
+        self._trying: set[Fingerprint] = set()
+        self._ends = ThreadPoolExecutor(1, thread_name_prefix="suspects")
         self._lock = threading.Lock()
 
     def set_view(self, view: View, received_ms: int) -> None:
@@ -79,51 +99,88 @@
         Refusal
             `QUARANTINED` if the request has been named meanwhile.
         """
-        command = ReserveTry(fingerprint=fingerprint, vm=self._vm, backend=backend)
-        answer = self._ask(command)
+        answer = self._ask(ReserveTry(fingerprint=fingerprint, vm=self._vm, backend=backend))
         self._raise_if_quarantined(fingerprint, answer)
         if isinstance(answer, TryBusy):
             return TryStep.OTHER_BACKEND if answer.here else TryStep.WAIT
+        with self._lock:
+            self._trying.add(fingerprint)
         return TryStep.RUN
 
     def lost(
-        self, fingerprint: Fingerprint, backend: BackendId, kind: LossKind, tokens: int
+        self, fingerprint: Fingerprint, backend: BackendId, kind: LossKind, tokens: int = 0
     ) -> None:
-        """Report an attempt's loss, if a backend server died; `tokens` is what the attempt yielded.
+        """Note an attempt's loss after `tokens` tokens, and report it if a backend server died.
 
         Raises
         ------
         Refusal
-            `QUARANTINED` if this names the request as the culprit.
+            `QUARANTINED`, may have run, if this names the request as the culprit.
         """
+        try:
+            self._report_loss(fingerprint, backend, kind, tokens)
+        except Refusal as refusal:
+            refusal.verdict = Verdict.MAY_HAVE_RUN
+            raise
+
+    def _report_loss(
+        self, fingerprint: Fingerprint, backend: BackendId, kind: LossKind, tokens: int
+    ) -> None:
         if kind not in CRASHES:
+            self.ended(fingerprint, cleared=False)
             return
         now_ms = self._clock.elapsed_ms()
         with self._lock:
+            self._trying.discard(fingerprint)
             self._suspects.on_crash(fingerprint, now_ms)
         command = ReportCrash(fingerprint=fingerprint, vm=self._vm, backend=backend, tokens=tokens)
         answer = self._ask(command)
+        if isinstance(answer, Accused):
+            self._sleep((answer.wait_ms + ACCUSED_MARGIN_MS) / _MS_PER_S)
+            command = ReserveTry(fingerprint=fingerprint, vm=self._vm, backend=backend)
+            answer = self._ask(command)
+            self._ask(EndTry(fingerprint=fingerprint, vm=self._vm, cleared=False))
         if answer is None:
             with self._lock:
                 self._suspects.on_report_failed(fingerprint, now_ms)
             self.check(fingerprint)
         self._raise_if_quarantined(fingerprint, answer)
 
-    def progressed(self, fingerprint: Fingerprint, tokens: int) -> bool:
-        """Return whether an isolated attempt of `tokens` tokens has shown itself harmless."""
-        return tokens >= CLEARED_AFTER_TOKENS
-
     def ended(self, fingerprint: Fingerprint, cleared: bool) -> None:
-        """End an isolated attempt; `cleared` says that it finished or progressed."""
-        if cleared:
-            with self._lock:
+        """End a suspect's try, if there is one; `cleared` says that it went well."""
+        with self._lock:
+            if fingerprint not in self._trying:
+                return
+            self._trying.discard(fingerprint)
+            if cleared:
                 self._suspects.on_cleared(fingerprint)
-        self._ask(EndTry(fingerprint=fingerprint, vm=self._vm, cleared=cleared))
+        self._ends.submit(self._ask, EndTry(fingerprint=fingerprint, vm=self._vm, cleared=cleared))
+
+    def progressed(self, req: GenerationRequest, tokens: int, ended: bool) -> None:
+        """Note that a generation's attempt yielded `tokens` tokens so far."""
+        if self._trying and (ended or tokens >= CLEARED_AFTER_TOKENS):
+            self.ended(generation_fingerprint(req.workspace, req.model, req.prompt), cleared=True)
+
+    def stream_lost(self, req: GenerationRequest, loss: BackendLost, tokens: int) -> None:
+        """Note that a generation's attempt was lost after it yielded `tokens` tokens.
+
+        Raises
+        ------
+        Refusal
+            `QUARANTINED` if this names the request as the culprit.
+        """
+        fingerprint = generation_fingerprint(req.workspace, req.model, req.prompt)
+        self.lost(fingerprint, loss.backend, loss.kind, tokens)
 
     def _ask(self, command: Command) -> QuarantineAnswer | None:
+        """Return the answer to a command; None while the state replicas do not answer."""
+        now_ms = self._clock.elapsed_ms()
+        if now_ms < self._silent_until_ms:
+            return None
         try:
             return self._propose(command)
         except Refusal:
+            self._silent_until_ms = now_ms + SILENCE_MS
             return None
 
     def _raise_if_quarantined(
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -6,10 +6,13 @@
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import IncarnationId
 from nutmegdrum_coord.parts import Command, decode_answer, encode_command
+from nutmegdrum_coord.quarantine import QuarantineAnswer
 
 from nutmegdrum.admission import Admission
 from nutmegdrum.claimed_calls import ClaimWriter
+from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.gateway import Gateway
+from nutmegdrum.guarded_routing import GuardedRouting
 from nutmegdrum.heartbeat import Heartbeater
 from nutmegdrum.plain import PlainPath
 from nutmegdrum.plugins import Kind, Registry
@@ -23,6 +26,7 @@
 
 BACKEND_PROTOCOL = "http"
 CLAIM_TIMEOUT_MS = 2_000
+SUSPICION_TIMEOUT_MS = 300
 PLAIN_TICK_MS = 100
 
 
@@ -54,14 +58,24 @@
         self.router = Router(cfg, clock, rng, registry)
         self.admission = Admission(cfg)
         self.state = StateClient(rpc, cfg.state_replicas)
+        self.guard = CrashGuard(cfg.vm.id, clock, self._propose_suspicion)
+        routing = GuardedRouting(self.router, self.guard)
         self.streaming = Streaming(
-            cfg, clock, random.SystemRandom(), rpc, protocol, self.router, registry, self.admission
+            cfg,
+            clock,
+            random.SystemRandom(),
+            rpc,
+            protocol,
+            routing,
+            registry,
+            self.admission,
+            self.guard,
         )
         self.generations = self.streaming.generations
         self.journal = self.streaming.journal
         claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim)
-        self.plain = PlainPath(cfg, clock, self.router, claims)
-        self.heartbeater = Heartbeater(cfg, clock, self.state, self.router, incarnation)
+        self.plain = PlainPath(cfg, clock, routing, self.guard, claims)
+        self.heartbeater = Heartbeater(cfg, clock, self.state, self.router, incarnation, self.guard)
         self._ticker = Ticker("heartbeat", cfg.control.heartbeat, self.heartbeater.beat)
         self._plain_ticker = Ticker("plain", PLAIN_TICK_MS, self.plain.tick)
         self._listener = HttpListener(
@@ -77,6 +91,10 @@
         encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
         return decode_answer(self.state.propose(encoded, CLAIM_TIMEOUT_MS), ClaimAnswer)
 
+    def _propose_suspicion(self, command: Command) -> QuarantineAnswer:
+        encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
+        return decode_answer(self.state.propose(encoded, SUSPICION_TIMEOUT_MS), QuarantineAnswer)
+
     def start(self) -> None:
         """Open the callers' listener and start to report.
 
--- a/packages/kernel/src/nutmegdrum/fingerprints.py
+++ b/packages/kernel/src/nutmegdrum/fingerprints.py
@@ -2,7 +2,7 @@
 
 from hashlib import blake2b
 
-from nutmegdrum_coord.ids import Fingerprint, RouteName, WorkspaceId
+from nutmegdrum_coord.ids import Fingerprint, ModelName, RouteName, WorkspaceId
 
 _FINGERPRINT_BYTES = 16
 _LENGTH_BYTES = 8
@@ -15,3 +15,8 @@
         digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
         digest.update(part)
     return Fingerprint(digest.hexdigest())
+
+
+def generation_fingerprint(workspace: WorkspaceId, model: ModelName, prompt: str) -> Fingerprint:
+    """Return the fingerprint of a generation; its model stands for the route."""
+    return fingerprint(workspace, RouteName(model), prompt.encode())
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/guarded_routing.py
@@ -0,0 +1,70 @@
+"""Routing that refuses crashing requests and keeps suspects apart."""
+
+import msgspec
+from nutmegdrum_coord.ids import BackendId
+from nutmegdrum_coord.verdict import OVERLOADED, Reason, Refusal, Verdict
+
+from nutmegdrum.crashguard import CrashGuard, TryStep
+from nutmegdrum.fingerprints import generation_fingerprint
+from nutmegdrum.messages import LossKind
+from nutmegdrum.routing import Router
+from nutmegdrum.routing_query import Choice, RouteQuery
+
+
+class GuardedRouting:
+    """Router for generations, with each suspect on a backend server of its own.
+
+    Parameters
+    ----------
+    guard : CrashGuard
+        Knows the suspects, here and at other entry VMs.
+    """
+
+    def __init__(self, router: Router, guard: CrashGuard):
+        self._router = router
+        self._guard = guard
+
+    def choose(self, query: RouteQuery) -> Choice | Reason:
+        """Return a backend server and version, or why nothing can serve the query.
+
+        Raises
+        ------
+        Refusal
+            `QUARANTINED` if the request crashes backend servers.
+        """
+        fingerprint = generation_fingerprint(query.workspace, query.model, query.prompt)
+        try:
+            self._guard.check(fingerprint)
+            if not self._guard.suspected(fingerprint):
+                return self._router.choose(msgspec.structs.replace(query, isolated=False))
+            return self._reserve(msgspec.structs.replace(query, isolated=True))
+        except Refusal as refusal:
+            if query.excluded:
+                refusal.verdict = Verdict.MAY_HAVE_RUN
+            raise
+
+    def _reserve(self, query: RouteQuery) -> Choice | Reason:
+        fingerprint = generation_fingerprint(query.workspace, query.model, query.prompt)
+        while True:
+            choice = self._router.choose(query)
+            if isinstance(choice, Reason):
+                return choice
+            step = self._guard.reserve(fingerprint, choice.backend.id)
+            if step is TryStep.RUN:
+                return choice
+            if step is TryStep.WAIT:
+                return OVERLOADED
+            excluded = query.excluded | {choice.backend.id}
+            query = msgspec.structs.replace(query, excluded=excluded)
+
+    def started(self, backend: BackendId, isolated: bool = False) -> None:
+        """Count an attempt that begins."""
+        self._router.started(backend, isolated)
+
+    def finished(self, backend: BackendId, ok: bool, isolated: bool = False) -> None:
+        """Count the end of an attempt that `started` counted."""
+        self._router.finished(backend, ok, isolated)
+
+    def lost(self, backend: BackendId, kind: LossKind) -> None:
+        """Suspect a backend server that stopped serving."""
+        self._router.lost(backend, kind)
--- a/packages/kernel/src/nutmegdrum/heartbeat.py
+++ b/packages/kernel/src/nutmegdrum/heartbeat.py
@@ -6,6 +6,7 @@
 from nutmegdrum_coord.ids import IncarnationId
 
 from nutmegdrum import metrics
+from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.logs import log_change
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import PeerUnreachable
@@ -33,12 +34,14 @@
         state: StateClient,
         router: Router,
         incarnation: IncarnationId,
+        guard: CrashGuard,
     ):
         self._cfg = cfg
         self._clock = clock
         self._state = state
         self._router = router
         self._incarnation = incarnation
+        self._guard = guard
         self._lock = threading.Lock()
         self._view: View | None = None
 
@@ -81,6 +84,7 @@
             changed = self._view is None or view.note != self._view.note
             self._view = view
         self._router.set_view(view, sent_ms)
+        self._guard.set_view(view, sent_ms)
         metrics.VIEW_POSITION.set(view.position)
         metrics.NOTE_IN_FORCE.set(view.note)
         if changed:
--- a/packages/kernel/src/nutmegdrum/relay.py
+++ b/packages/kernel/src/nutmegdrum/relay.py
@@ -4,7 +4,7 @@
 one thread and one connection at a time. Tokens are released once all live holders have them.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from typing import Protocol
 
@@ -20,7 +20,7 @@
 from nutmegdrum.routing_query import Choice, Routing
 from nutmegdrum.session import Attempt, Batch, ReadBatch, Session, split_epochs
 from nutmegdrum.settings import StreamSettings
-from nutmegdrum.streams import UNHARMED, StreamState
+from nutmegdrum.streams import StreamState
 from nutmegdrum.suspicion import Suspicion
 from nutmegdrum.turns import RecoveryTurns
 
@@ -41,14 +41,31 @@
         ...
 
 
+class StreamGuard(Protocol):
+    """Finder of requests that crash backend servers, as streams see it."""
+
+    def progressed(self, req: GenerationRequest, tokens: int, ended: bool) -> None:
+        """Note that an attempt yielded `tokens` tokens so far."""
+        ...
+
+    def stream_lost(self, req: GenerationRequest, loss: BackendLost, tokens: int) -> None:
+        """Note that an attempt was lost after it yielded `tokens` tokens.
+
+        Raises
+        ------
+        Refusal
+            If the request is named as the cause.
+        """
+        ...
+
+
 class Relay:
     """Fetches the tokens of sessions from backend servers.
 
     Parameters
     ----------
-    losses : callable or None
-        Called with the request, the loss, and whether the attempt was kept apart, to find requests
-        that crash backend servers.
+    guard : StreamGuard or None
+        Finds requests that crash backend servers.
     sleep : callable
         Waits some seconds between two questions to routing.
     """
@@ -64,7 +81,7 @@
         turns: RecoveryTurns,
         suspicion: Suspicion,
         sleep: Sleeper,
-        losses: Callable[[GenerationRequest, BackendLost, bool], None] | None = None,
+        guard: StreamGuard | None = None,
     ):
         self._cfg = cfg
         self._clock = clock
@@ -75,7 +92,7 @@
         self._turns = turns
         self._suspicion = suspicion
         self._sleep = sleep
-        self._losses = losses
+        self._guard = guard
         self._cancels = ThreadPoolExecutor(_CANCEL_THREADS, thread_name_prefix="cancel")
 
     def read(self, session: Session, first_index: int = 0) -> Iterator[ReadBatch]:
@@ -144,6 +161,7 @@
         isolated, choice = self._choose(session, recovers)
         call = stream.begin(choice.backend.id, choice.version)
         attempt = Attempt(choice, call.attempt, isolated, self._clock.elapsed_ms())
+        attempt.first_index = len(call.prefix)
         session.attempt = attempt
         self._routing.started(choice.backend.id, isolated)
         metrics.ATTEMPTS.labels("started").inc()
@@ -237,6 +255,9 @@
         batch = stream.accept(attempt.number, items)
         if batch:
             self._release(session)
+            if self._guard is not None:
+                ended = stream.state is StreamState.FINISHED
+                self._guard.progressed(stream.req, len(stream.tokens) - attempt.first_index, ended)
         if stream.state is StreamState.FINISHED:
             self._end_attempt(session, attempt, ok=True)
         elif stream.dropped != dropped:
@@ -285,7 +306,6 @@
 
     def _lose(self, session: Session, attempt: Attempt, loss: BackendLost) -> None:
         now_ms = self._clock.elapsed_ms()
-        isolated = attempt.isolated
         if session.failure is not None:
             self._end_attempt(session, attempt, ok=True)
             return
@@ -300,8 +320,9 @@
             return
         self._routing.lost(loss.backend, loss.kind)
         self._registry.send(Event.BACKEND_LOST, backend=loss.backend, kind=loss.kind)
-        if self._losses is not None and loss.kind not in UNHARMED:
-            self._losses(session.stream.req, loss, isolated)
+        if self._guard is not None:
+            tokens = len(session.stream.tokens) - attempt.first_index
+            self._guard.stream_lost(session.stream.req, loss, tokens)
 
     def _end_attempt(self, session: Session, attempt: Attempt, ok: bool) -> None:
         session.attempt = None
--- a/packages/kernel/src/nutmegdrum/session.py
+++ b/packages/kernel/src/nutmegdrum/session.py
@@ -34,6 +34,7 @@
         self.began_ms = began_ms
         self.source: TokenSource | None = None
         self.has_token = False
+        self.first_index = 0
 
 
 class Session:
--- a/packages/kernel/src/nutmegdrum/shared_state.py
+++ b/packages/kernel/src/nutmegdrum/shared_state.py
@@ -9,6 +9,9 @@
 
 from nutmegdrum.view import QuarantineView
 
+REMAINING_STEP_MS = 60_000
+"""Rounding of quarantines' remaining time, so that views do not differ each moment."""
+
 
 class SharedState:
     """State machine under a lock, so that queries can read it while the log applies commands."""
@@ -46,4 +49,9 @@
         quarantine: Quarantine = self.state.parts[Quarantine.name]
         with self.lock:
             held = quarantine.quarantines(self.log_now_ms())
-        return [QuarantineView(fingerprint=f, remaining_ms=ms) for f, ms in held.items()]
+        return [
+            QuarantineView(
+                fingerprint=f, remaining_ms=-(-ms // REMAINING_STEP_MS) * REMAINING_STEP_MS
+            )
+            for f, ms in held.items()
+        ]
--- a/packages/kernel/src/nutmegdrum/streaming.py
+++ b/packages/kernel/src/nutmegdrum/streaming.py
@@ -14,7 +14,7 @@
 from nutmegdrum.journal_service import JournalService
 from nutmegdrum.plugins import Registry
 from nutmegdrum.recovery import RecoveryBudget
-from nutmegdrum.relay import Relay
+from nutmegdrum.relay import Relay, StreamGuard
 from nutmegdrum.routing_query import Routing
 from nutmegdrum.rpc import RpcClient
 from nutmegdrum.sessions import Sessions
@@ -45,6 +45,7 @@
         routing: Routing,
         registry: Registry,
         admission: Admission,
+        guard: StreamGuard | None = None,
     ):
         streams = cfg.streams
         vm = cfg.vm.id
@@ -63,6 +64,7 @@
             turns,
             self.suspicion,
             time.sleep,
+            guard,
         )
         self.sessions = Sessions(clock, self.relay, streams.caller_grace, streams.journal_retention)
         self.journal = JournalService(clock, streams.journal_retention, self.sessions.on_taken_over)
--- a/packages/kernel/src/nutmegdrum/viewbuilder.py
+++ b/packages/kernel/src/nutmegdrum/viewbuilder.py
@@ -5,6 +5,7 @@
 import msgspec
 from nutmegdrum_coord.ids import FencingNumber, VersionName
 from nutmegdrum_coord.parts import PartedState
+from nutmegdrum_coord.quarantine import Quarantine
 
 from nutmegdrum.fleet import Fleet, FleetMember
 from nutmegdrum.messages import LoadedVersion
@@ -30,6 +31,7 @@
     """
     releases = state.parts[Releases.name]
     models = [_model_view(m, releases, grant_ms) for m in releases.models.values() if m.serving]
+    quarantine = state.parts.get(Quarantine.name)
     members = [member for member in fleet.members.values() if not member.gone]
     return View(
         position=state.position,
@@ -38,6 +40,7 @@
         models=models,
         backends=[_backend_view(member, models) for member in members],
         quarantines=list(quarantines),
+        suspects=quarantine.suspects() if quarantine is not None else [],
     )
 
 
--- a/packages/kernel/tests/test_plain.py
+++ b/packages/kernel/tests/test_plain.py
@@ -2,6 +2,8 @@
 
 import pytest
 from nutmegdrum.claimed_calls import ClaimWriter
+from nutmegdrum.crashguard import CrashGuard
+from nutmegdrum.guarded_routing import GuardedRouting
 from nutmegdrum.messages import BackendLost, LossKind
 from nutmegdrum.plain import PlainPath
 from nutmegdrum.plain_http import PlainReply, SendForbidden
@@ -12,6 +14,7 @@
 from nutmegdrum_coord.clock import LogMs, ManualClock
 from nutmegdrum_coord.ids import IncarnationId, LogPosition, VmId, WorkspaceId
 from nutmegdrum_coord.parts import Context, Envelope
+from nutmegdrum_coord.quarantine import Quarantine
 from nutmegdrum_coord.verdict import (
     BACKEND_LOST,
     DISPATCH_EXPIRED,
@@ -39,6 +42,7 @@
 
     def __init__(self):
         self.claims = Claims()
+        self.quarantine = Quarantine()
         self.failure: Refusal | None = None
         self.applies = True
 
@@ -46,7 +50,8 @@
         answer = None
         if self.applies:
             ctx = Context(LogPosition(1), LogMs(0), Envelope(command=b""))
-            answer = self.claims.apply(ctx, command)
+            claims = type(command) in Claims.commands
+            answer = (self.claims if claims else self.quarantine).apply(ctx, command)
         if self.failure is not None:
             raise self.failure
         return answer
@@ -83,7 +88,9 @@
         self.sender = sender or Sender()
         router = Router(self.cfg, self.clock, random.Random(1), Registry())
         writer = ClaimWriter(VmId(name), IncarnationId(name), self.state.propose)
-        self.path = PlainPath(self.cfg, self.clock, router, writer, sender=self.sender)
+        guard = CrashGuard(VmId(name), self.clock, self.state.propose)
+        routing = GuardedRouting(router, guard)
+        self.path = PlainPath(self.cfg, self.clock, routing, guard, writer, sender=self.sender)
 
     def call(self, method="POST", body=b"farm 7", key="k1"):
         headers = {"Idempotency-Key": key} if key else {}
