--- a/packages/kernel/src/nutmegdrum/generations.py
+++ b/packages/kernel/src/nutmegdrum/generations.py
@@ -8,7 +8,7 @@
 from nutmegdrum_coord.ids import GenerationId, WorkspaceId
 
 from nutmegdrum import metrics
-from nutmegdrum.admission import Admission, AdmissionRequest, Ticket
+from nutmegdrum.admission import Admission, Ticket
 from nutmegdrum.generation_ids import make_generation_id
 from nutmegdrum.messages import Finish, GenerationRequest, Token
 from nutmegdrum.relay import Relay
--- a/packages/kernel/src/nutmegdrum/state_daemon.py
+++ b/packages/kernel/src/nutmegdrum/state_daemon.py
@@ -76,9 +76,7 @@
         self._log = LogNode(cfg, clock, rng, self._shared, RpcLogTransport(cfg, rpc))
         protocol = registry.get(Kind.BACKEND_PROTOCOL, BACKEND_PROTOCOL)
         judges = registry.get(Kind.ROLLOUT_JUDGE, ROLLOUT_JUDGE)
-        self._actor = LeaderActor.start(
-            cfg, clock, rng, self._shared, self._log, protocol, judges
-        )
+        self._actor = LeaderActor.start(cfg, clock, rng, self._shared, self._log, protocol, judges)
         self._leader = self._actor.proxy()
         self._ticker = Ticker("leader", LEADER_TICK_MS, self._tick)
 
