--- a/packages/kernel/src/nutmegdrum/judging.py
+++ b/packages/kernel/src/nutmegdrum/judging.py
@@ -48,8 +48,12 @@
 
 
 class Comparison(msgspec.Struct, frozen=True, kw_only=True):
-    """Counts of both versions over one window; `settled.requests` is 0 in the bake time."""
+    """Counts of both versions over one window that ended at `at_ms`.
 
+    The settled version has no requests while the new one gets all traffic.
+    """
+
+    at_ms: ElapsedMs
     stream: Stream
     trial: Counts
     settled: Counts
@@ -145,7 +149,9 @@
             old = now_ms - waiting.since >= CARRY_MS
             if both or (old and waiting.trial.requests > 0):
                 self.judge.observe(
-                    Comparison(stream=stream, trial=waiting.trial, settled=waiting.settled)
+                    Comparison(
+                        at_ms=now_ms, stream=stream, trial=waiting.trial, settled=waiting.settled
+                    )
                 )
             if both or old:
                 del self._waiting[stream]
--- a/packages/kernel/src/nutmegdrum/leader.py
+++ b/packages/kernel/src/nutmegdrum/leader.py
@@ -20,7 +20,7 @@
 from nutmegdrum.placement import (
     MIN_TRIAL_BACKENDS,
     Placement,
-    backends_needed,
+    backends_required,
     ready_backends,
     remaining_loads,
 )
@@ -220,7 +220,7 @@
         if move.state is MoveState.LOADING:
             return _step(move, MoveState.TRIAL) if self._carried(move, 0, now_ms) else None
         carried = self._carried(move, move.step + 1, now_ms)
-        return self._trials.decide(move, times, load_ms, carried)
+        return self._trials.decide(move, times, self._spare.planned_ms(load_ms), carried)
 
     def _carried(self, move: Move, step: int, now_ms: ElapsedMs) -> bool:
         if step >= len(move.share_steps):
@@ -230,7 +230,7 @@
         if model.plain:
             return ready >= MIN_TRIAL_BACKENDS
         reachable = [m for m in self.fleet.serving(move.service) if m.reachable(now_ms)]
-        return 0 < backends_needed(move.share_steps[step], len(reachable)) <= ready
+        return 0 < backends_required(move.share_steps[step], len(reachable)) <= ready
 
     def _added(self, move: Move) -> bool:
         model = self._releases.models[move.model]
--- a/packages/kernel/src/nutmegdrum/loading.py
+++ b/packages/kernel/src/nutmegdrum/loading.py
@@ -24,16 +24,23 @@
         Slots of a service that must stay free while one of its backend servers loads.
     hold_ms : int
         Time after the loss of a backend server in which no load begins, in ms.
+    allowance_permille : int
+        Time that loads are planned to need, of the weight store's alone.
     """
 
     parallel: int
     reserve_permille: int
     hold_ms: int
+    allowance_permille: int
 
 
 LIMITS = {
-    Weigh.RESUME_LATENCY: LoadLimits(parallel=1, reserve_permille=250, hold_ms=10_000),
-    Weigh.MOVES_IN_TIME: LoadLimits(parallel=3, reserve_permille=50, hold_ms=0),
+    Weigh.RESUME_LATENCY: LoadLimits(
+        parallel=1, reserve_permille=250, hold_ms=10_000, allowance_permille=3_000
+    ),
+    Weigh.MOVES_IN_TIME: LoadLimits(
+        parallel=3, reserve_permille=50, hold_ms=0, allowance_permille=1_500
+    ),
 }
 
 
@@ -53,6 +60,10 @@
         self._lost_ms: dict[BackendId, ElapsedMs] = {}
         self._silent: set[BackendId] = set()
 
+    def planned_ms(self, load_ms: int) -> int:
+        """Return the time to plan for loads that the weight store does in `load_ms`."""
+        return load_ms * self._limits.allowance_permille // PERMILLE
+
     def on_loss(self, now_ms: ElapsedMs, backend: BackendId) -> None:
         """Take in that an entry VM lost contact with a backend server."""
         self._lost_ms[backend] = now_ms
--- a/packages/kernel/src/nutmegdrum/placement.py
+++ b/packages/kernel/src/nutmegdrum/placement.py
@@ -34,6 +34,16 @@
     return min(backends, max(needed, MIN_TRIAL_BACKENDS))
 
 
+def backends_required(share_ppm: int, backends: int) -> int:
+    """Return how many must run a version before it gets the share.
+
+    A fifth of those that are wanted may be missing, so that backend servers that come back
+    empty do not hold up a move.
+    """
+    wanted = backends_needed(share_ppm, backends)
+    return max(min(wanted, MIN_TRIAL_BACKENDS), wanted - wanted // 5)
+
+
 def holds(member: FleetMember, model: ModelState, version: VersionName) -> bool:
     """Return whether a backend server holds a version and all the model's adapters on it."""
     wanted = {LoadedVersion(model.name, version)}
