--- a/packages/testing/src/nutmegdrum_testing/deployment.py
+++ b/packages/testing/src/nutmegdrum_testing/deployment.py
@@ -17,6 +17,7 @@
 from nutmegdrum_testing.waiting import wait_for
 
 READY_TIMEOUT_S = 30.0
+_TAIL_CHARS = 2_000
 MODEL_SERVICE = "llm"
 PLAIN_SERVICE = "booking"
 MODEL = "m"
@@ -222,7 +223,11 @@
     def wait_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
         """Wait until every daemon is ready."""
         for daemon in self.daemons:
-            wait_for(daemon.is_ready, timeout_s)
+            try:
+                wait_for(daemon.is_ready, timeout_s)
+            except TimeoutError:
+                tail = daemon.running.output()[-_TAIL_CHARS:]
+                raise TimeoutError(f"{daemon.vm} is not ready:\n{tail}") from None
 
     def close(self) -> None:
         """End all processes and remove the files."""
