--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 PACKAGES := coord wire kernel plugins testing
 
-.PHONY: install demo test bench lint format thrift lock
+.PHONY: install demo test bench lint format thrift lock reference
 
 install: .venv/installed
 
@@ -29,6 +29,9 @@
 	.venv/bin/black --quiet .
 	.venv/bin/ruff check --fix --quiet .
 
+reference: install
+	$(PY) -m nutmegdrum_testing.reference
+
 thrift:
 	thrift --gen py -out packages/wire/src packages/wire/src/nutmegdrum_wire/nutmegdrum.thrift
 	rm -f packages/wire/src/__init__.py packages/wire/src/nutmegdrum_wire/gen/messages/*-remote
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/reference.py
@@ -0,0 +1,116 @@
+"""Reference pages that are generated from the code: settings and metrics.
+
+`python -m nutmegdrum_testing.reference` writes them; a test compares them with the code.
+"""
+
+import importlib
+import pkgutil
+from pathlib import Path
+from typing import Any, get_args, get_origin
+
+import msgspec
+import nutmegdrum
+from nutmegdrum.settings import Settings
+from nutmegdrum.units import Address, Duration, Size
+from prometheus_client import REGISTRY
+
+FOLDER = Path("docs/reference")
+_PREFIX = "nutmegdrum_"
+_UNITS = {Duration: "ms", Size: "B"}
+
+
+def settings_page() -> str:
+    """Return the page of all settings."""
+    lines = [
+        "# Settings",
+        "",
+        "One JSON file a daemon. Durations and sizes are written with a unit (`250ms`, `3s`, "
+        "`5min`; `64KiB`, `8MiB`), addresses as IP number and port. Unknown keys are refused. "
+        "Check a file with `nutmegdrum settings check FILE`.",
+        "",
+        "Generated from the code by `python -m nutmegdrum_testing.reference`.",
+    ]
+    _describe(Settings, "", lines, set())
+    return "\n".join(lines) + "\n"
+
+
+def metrics_page() -> str:
+    """Return the page of all metrics."""
+    for module in pkgutil.iter_modules(nutmegdrum.__path__):
+        importlib.import_module(f"nutmegdrum.{module.name}")
+    lines = [
+        "# Metrics",
+        "",
+        "Served at `/metrics` of the probes' listener, in the format of Prometheus.",
+        "",
+        "Generated from the code by `python -m nutmegdrum_testing.reference`.",
+        "",
+        "| metric | type | meaning |",
+        "|---|---|---|",
+    ]
+    families = [f for f in REGISTRY.collect() if f.name.startswith(_PREFIX)]
+    for family in sorted(families, key=lambda f: f.name):
+        lines.append(f"| `{family.name}` | {family.type} | {family.documentation} |")
+    return "\n".join(lines) + "\n"
+
+
+def _describe(kind: type, path: str, lines: list[str], seen: set[type]) -> None:
+    seen.add(kind)
+    heading = f"`{path}`" if path else "Top level"
+    summary = (kind.__doc__ or "").splitlines()[0]
+    lines += ["", f"## {heading}", "", summary, "", "| key | type | default |", "|---|---|---|"]
+    nested: list[tuple[str, type]] = []
+    for field in msgspec.structs.fields(kind):
+        lines.append(f"| `{field.name}` | {_type_name(field.type)} | {_default(field)} |")
+        inner = _inner_struct(field.type)
+        if inner is not None and inner not in seen:
+            suffix = "[]" if get_origin(field.type) is list else ""
+            nested.append((f"{path}.{field.name}{suffix}".lstrip("."), inner))
+    for inner_path, inner in nested:
+        _describe(inner, inner_path, lines, seen)
+
+
+def _inner_struct(kind: Any) -> type | None:
+    for candidate in (kind, *get_args(kind)):
+        if isinstance(candidate, type) and issubclass(candidate, msgspec.Struct):
+            return candidate
+    return None
+
+
+def _type_name(kind: Any) -> str:
+    if kind in (Duration, Size, Address):
+        return kind.__name__.lower()
+    if get_origin(kind) is not None:
+        args = [_type_name(arg) for arg in get_args(kind) if arg is not type(None)]
+        name = getattr(get_origin(kind), "__name__", "")
+        return f"{name} of {', '.join(args)}" if name in ("list", "dict") else " or ".join(args)
+    if hasattr(kind, "__supertype__"):
+        return _type_name(kind.__supertype__)
+    if isinstance(kind, type) and hasattr(kind, "__members__"):
+        return " or ".join(f"`{member.value}`" for member in kind)
+    return getattr(kind, "__name__", str(kind))
+
+
+def _default(field: msgspec.structs.FieldInfo) -> str:
+    if field.required:
+        return "required"
+    default = field.default
+    if default is msgspec.NODEFAULT:
+        return "empty"
+    if default is None:
+        return "none"
+    if isinstance(default, msgspec.Struct):
+        return "see below"
+    if type(default) in _UNITS:
+        return f"`{int(default)}{_UNITS[type(default)]}`"
+    return f"`{getattr(default, 'value', default)}`"
+
+
+def main() -> None:
+    """Write the pages."""
+    (FOLDER / "settings.md").write_text(settings_page())
+    (FOLDER / "metrics.md").write_text(metrics_page())
+
+
+if __name__ == "__main__":
+    main()
