--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/bench/bounds.py
@@ -0,0 +1,43 @@
+"""Bounds of the measures, each with its source."""
+
+from typing import NamedTuple
+
+
+class Bound(NamedTuple):
+    """Largest (or smallest) value that a figure may have.
+
+    Attributes
+    ----------
+    gated : bool
+        Whether CI may fail by it: only where model time gives the same figure on every run.
+    """
+
+    limit: float
+    unit: str
+    source: str
+    at_least: bool = False
+    gated: bool = False
+
+    def holds(self, value: float) -> bool:
+        """Return whether `value` is within the bound."""
+        return value >= self.limit if self.at_least else value <= self.limit
+
+
+TARGET = "target sizes, docs/CAPACITY.md"
+PROMISES = "promises, docs/PROVED.md"
+SETTINGS = "settings, docs/reference"
+
+BOUNDS = {
+    "first-token": Bound(1_600, "ms", TARGET),
+    "token-gap": Bound(57, "ms", TARGET),
+    "resume": Bound(5_000, "ms", TARGET),
+    "note-in-force": Bound(17_000, "ms", TARGET),
+    "control-cpu": Bound(4.1, "% of a core", TARGET),
+    "control-memory": Bound(256, "MiB", TARGET),
+    "control-bytes": Bound(5_000, "B/s", TARGET),
+    "broken-streams": Bound(0, "streams", PROMISES),
+    "double-runs": Bound(0, "calls", PROMISES),
+    "heartbeat-lateness": Bound(1_500, "ms", "freshness lease less one heartbeat, settings"),
+    "bad-taken-back": Bound(1.0, "share", PROMISES, at_least=True, gated=True),
+    "good-in-time": Bound(1.0, "share", PROMISES, at_least=True, gated=True),
+}
--- a/packages/testing/src/nutmegdrum_testing/deployment.py
+++ b/packages/testing/src/nutmegdrum_testing/deployment.py
@@ -42,6 +42,8 @@
         Daemons of each role; the first `shared` entry daemons hold state too, and count as both.
     peer_links, engine_links : bool
         Whether each pair of daemons, or of daemon and engine, talks over a link that can be cut.
+    workspace_limits : dict
+        Limits of each workspace, in the words of the settings.
     settings : dict
         Settings that replace or extend the generated ones, section by section.
     """
@@ -53,6 +55,7 @@
     plains: int = 0
     versions: tuple[str, ...] = ("1",)
     workspaces: tuple[str, ...] = ("w1", "w2")
+    workspace_limits: dict[str, int] = {}
     data_centres: tuple[str, ...] = ("dc-a", "dc-b", "dc-c")
     engine_options: tuple[str, ...] = ()
     plain_options: tuple[str, ...] = ()
@@ -301,7 +304,8 @@
             "state_replicas": [peers[name] for name in kinds if "state" in kinds[name]],
             "entry_vms": [peers[name] for name in kinds if "entry" in kinds[name]],
             "workspaces": [
-                {"id": name, "key_sha256": key_digest(name)} for name in options.workspaces
+                {"id": name, "key_sha256": key_digest(name), **options.workspace_limits}
+                for name in options.workspaces
             ],
             "services": [
                 {"name": MODEL_SERVICE, "kind": "model"},
--- a/packages/testing/src/nutmegdrum_testing/link.py
+++ b/packages/testing/src/nutmegdrum_testing/link.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Coroutine
 from enum import Enum
 from typing import Any, TypeVar
@@ -62,6 +63,13 @@
 
     A silenced direction holds its bytes back and nobody is told, as when packets are dropped.
     `reset` breaks all connections off, and `refuse` closes the listener too.
+
+    Attributes
+    ----------
+    bytes_carried : dict
+        Bytes by direction.
+    sent_at_s : list of float
+        Monotonic time in s of each chunk to the target.
     """
 
     def __init__(self, network: Network, target: str, host: str, port: int):
@@ -75,6 +83,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._host = host
         self._port = port
+        self.sent_at_s: list[float] = []
         self.bytes_carried = {Direction.FORTH: 0, Direction.BACK: 0}
         network.run(self._listen())
 
@@ -160,6 +169,8 @@
                 await asyncio.sleep(self._delay_ms / 1000)
             await self._wait_until_open(direction)
             self.bytes_carried[direction] += len(data)
+            if direction is Direction.FORTH:
+                self.sent_at_s.append(time.monotonic())
             sink.write(data)
             await sink.drain()
         await self._wait_until_open(direction)
