--- a/packages/kernel/src/nutmegdrum/metrics.py
+++ b/packages/kernel/src/nutmegdrum/metrics.py
@@ -15,6 +15,7 @@
 )
 HEARTBEATS = Counter("nutmegdrum_heartbeats", "Heartbeats by outcome", ["outcome"])
 VIEW_POSITION = Gauge("nutmegdrum_view_position", "Log position of the view in force")
+VIEW_FRESH = Gauge("nutmegdrum_view_fresh", "1 while the freshness lease lasts, else 0")
 NOTE_IN_FORCE = Gauge("nutmegdrum_note_in_force", "Number of the release note in force")
 PEER_CALLS = Counter("nutmegdrum_peer_calls", "Calls to other VMs by method", ["method", "outcome"])
 HOLDERS_LOST = Counter("nutmegdrum_journal_holders_lost", "Holders that did not answer in time")
