--- a/packages/kernel/src/nutmegdrum/fleet.py
+++ b/packages/kernel/src/nutmegdrum/fleet.py
@@ -56,6 +56,8 @@
         Whether the live list has ever shown it.
     gone : bool
         Whether the live list has shown it and shows it no more.
+    restarted_ms : ElapsedMs or None
+        When its load reports began anew, so that it has forgotten orders and weights.
     """
 
     cfg: BackendSettings
@@ -64,6 +66,7 @@
     gone: bool = False
     report: LoadReport | None = None
     reported_ms: ElapsedMs = ElapsedMs(0)
+    restarted_ms: ElapsedMs | None = None
 
     @property
     def loaded(self) -> list[LoadedVersion]:
@@ -116,6 +119,8 @@
         older = member.report is not None and report.sequence < member.report.sequence
         if older and member.reachable(now_ms):
             return
+        if older:
+            member.restarted_ms = now_ms
         member.report = report
         member.reported_ms = now_ms
 
--- a/packages/kernel/src/nutmegdrum/leader.py
+++ b/packages/kernel/src/nutmegdrum/leader.py
@@ -266,7 +266,7 @@
         loading = [
             backend
             for backend, entry in self._orders.open.items()
-            if entry.order.kind is OrderKind.LOAD
+            if entry.order.kind is OrderKind.LOAD and self._reachable(now_ms, backend)
         ]
         for load in placement.loads():
             if load.backend in loading or not self._spare.allows(now_ms, self.fleet, load, loading):
@@ -289,6 +289,10 @@
                 intents[instance.backend] = intent
         return list(intents.values())
 
+    def _reachable(self, now_ms: ElapsedMs, backend: BackendId) -> bool:
+        member = self.fleet.members.get(backend)
+        return member is not None and member.reachable(now_ms)
+
     def _weights_of(self, model: ModelName, version: VersionName) -> Weights | None:
         return self._weights.get((model, version))
 
--- a/packages/kernel/src/nutmegdrum/loading.py
+++ b/packages/kernel/src/nutmegdrum/loading.py
@@ -12,6 +12,9 @@
 
 PERMILLE = 1_000
 
+MAX_PARALLEL = 2
+"""Loads of settled versions at a time; more would share the store's rate and all end late."""
+
 
 class LoadLimits(NamedTuple):
     """Limits of loads for moves.
@@ -19,7 +22,7 @@
     Attributes
     ----------
     parallel : int
-        Loads at a time in the whole deployment.
+        Loads at a time in the whole deployment beside which one for a move may begin.
     reserve_permille : int
         Slots of a service that must stay free while one of its backend servers loads.
     hold_ms : int
@@ -39,7 +42,7 @@
         parallel=1, reserve_permille=250, hold_ms=10_000, allowance_permille=3_000
     ),
     Weigh.MOVES_IN_TIME: LoadLimits(
-        parallel=3, reserve_permille=50, hold_ms=0, allowance_permille=1_500
+        parallel=2, reserve_permille=50, hold_ms=0, allowance_permille=2_000
     ),
 }
 
@@ -47,7 +50,7 @@
 class SpareCapacity:
     """Admission of loads beside traffic and recovery.
 
-    Loads that restore a settled version are admitted whatever the limits.
+    Loads that restore a settled version are admitted whatever is spare.
 
     Parameters
     ----------
@@ -86,7 +89,7 @@
     ) -> bool:
         """Return whether `load` may begin beside the backend servers that load already."""
         if load.complete_by == FIRST:
-            return True
+            return len(loading) < MAX_PARALLEL
         if self._lost_ms or len(loading) >= self._limits.parallel:
             return False
         service = fleet.members[load.backend].cfg.service
--- a/packages/kernel/src/nutmegdrum/orderdesk.py
+++ b/packages/kernel/src/nutmegdrum/orderdesk.py
@@ -118,7 +118,7 @@
             if outcome is not None:
                 self._note_outcome(now_ms, entry, outcome)
                 closes.append(CloseOrder(backend=backend, order=entry.order.id, outcome=outcome))
-            elif entry.order.fencing == self._fencing and self._due(now_ms, entry.order.id):
+            elif entry.order.fencing == self._fencing and self._due(now_ms, entry):
                 sends.append(self._send(now_ms, entry))
         self._forget(self._orders.open)
         return closes, sends
@@ -134,11 +134,16 @@
         if status in _OUTCOMES:
             return _OUTCOMES[status]
         first = self._first_sent.get(entry.order.id, now_ms)
+        if member.restarted_ms is not None and first < member.restarted_ms:
+            return OrderOutcome.ABANDONED
         limit_ms = GIVE_UP_MS if status is OrderStatus.ACCEPTED else 2 * self._deadline_ms
         return OrderOutcome.ABANDONED if now_ms - first >= limit_ms else None
 
-    def _due(self, now_ms: ElapsedMs, order: OrderId) -> bool:
-        return order not in self._sent or now_ms - self._sent[order] >= POLL_MS
+    def _due(self, now_ms: ElapsedMs, entry: OpenOrder) -> bool:
+        if not self._fleet.members[entry.backend].reachable(now_ms):
+            return False
+        sent_ms = self._sent.get(entry.order.id)
+        return sent_ms is None or now_ms - sent_ms >= POLL_MS
 
     def _send(self, now_ms: ElapsedMs, entry: OpenOrder) -> SendOrder:
         self._sent[entry.order.id] = now_ms
