--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -0,0 +1,105 @@
+"""Entry role of a daemon: serves callers and keeps its view of the state fresh."""
+
+import random
+
+from nutmegdrum_coord.claims import ClaimAnswer
+from nutmegdrum_coord.clock import Clock
+from nutmegdrum_coord.ids import IncarnationId
+from nutmegdrum_coord.parts import Command, decode_answer, encode_command
+
+from nutmegdrum.admission import Admission
+from nutmegdrum.claimed_calls import ClaimWriter
+from nutmegdrum.gateway import Gateway
+from nutmegdrum.heartbeat import Heartbeater
+from nutmegdrum.plain import PlainPath
+from nutmegdrum.plugins import Kind, Registry
+from nutmegdrum.routing import Router
+from nutmegdrum.rpc import RpcClient
+from nutmegdrum.settings import Settings
+from nutmegdrum.state_client import StateClient
+from nutmegdrum.streaming import Streaming
+from nutmegdrum.ticker import Ticker
+from nutmegdrum.wsgi import HttpListener
+
+BACKEND_PROTOCOL = "http"
+CLAIM_TIMEOUT_MS = 2_000
+PLAIN_TICK_MS = 100
+
+
+class EntryRole:
+    """All that one entry VM does.
+
+    Parameters
+    ----------
+    registry : Registry
+        Loaded plug-ins; one must provide the backend servers' protocol.
+    incarnation : IncarnationId
+        Identity of this start of the daemon.
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        rng: random.Random,
+        rpc: RpcClient,
+        registry: Registry,
+        incarnation: IncarnationId,
+    ):
+        self.cfg = cfg
+        self.clock = clock
+        self.rng = rng
+        self.registry = registry
+        protocol = registry.get(Kind.BACKEND_PROTOCOL, BACKEND_PROTOCOL)
+        self.router = Router(cfg, clock, rng, registry)
+        self.admission = Admission(cfg)
+        self.state = StateClient(rpc, cfg.state_replicas)
+        self.streaming = Streaming(
+            cfg, clock, random.SystemRandom(), rpc, protocol, self.router, registry, self.admission
+        )
+        self.generations = self.streaming.generations
+        self.journal = self.streaming.journal
+        claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim)
+        self.plain = PlainPath(cfg, clock, self.router, claims)
+        self.heartbeater = Heartbeater(cfg, clock, self.state, self.router, incarnation)
+        self._ticker = Ticker("heartbeat", cfg.control.heartbeat, self.heartbeater.beat)
+        self._plain_ticker = Ticker("plain", PLAIN_TICK_MS, self.plain.tick)
+        self._listener = HttpListener(
+            cfg.listen.callers,
+            Gateway(self),
+            threads=cfg.callers.max_streams + cfg.callers.spare_threads,
+            idle_timeout_ms=cfg.callers.idle_timeout,
+            max_body=cfg.callers.max_body,
+            max_headers=cfg.callers.max_headers,
+        )
+
+    def _propose_claim(self, command: Command) -> ClaimAnswer:
+        encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
+        return decode_answer(self.state.propose(encoded, CLAIM_TIMEOUT_MS), ClaimAnswer)
+
+    def start(self) -> None:
+        """Open the callers' listener and start to report.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        self._ticker.start()
+        self._plain_ticker.start()
+        self.streaming.start()
+        self._listener.start()
+
+    def not_ready(self) -> str:
+        """Return why this VM should get no callers, or an empty string."""
+        return "" if self.heartbeater.has_view() else "no view of the state yet"
+
+    def drain(self) -> None:
+        """Wait until streams have ended, at most as long as the settings say."""
+
+    def stop(self) -> None:
+        """Close the callers' listener."""
+        self._ticker.stop()
+        self._plain_ticker.stop()
+        self._listener.stop()
+        self.streaming.stop()
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/gateway.py
@@ -0,0 +1,83 @@
+"""Callers' HTTP interface: authenticates, then hands each request to its path."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+import msgspec
+from nutmegdrum_coord import verdict as v
+
+from nutmegdrum.completion_path import CompletionPath, count_refusal
+from nutmegdrum.problems import problem_headers, problem_of
+from nutmegdrum.settings import WorkspaceSettings
+from nutmegdrum.workspaces import Workspaces
+from nutmegdrum.wsgi import (
+    Environ,
+    Response,
+    StartResponse,
+    read_body,
+    request_headers,
+)
+
+if TYPE_CHECKING:
+    from nutmegdrum.entry import EntryRole
+
+_COMPLETION_PATHS = {"/v1/completions": False, "/v1/chat/completions": True}
+_GENERATIONS_PREFIX = "/v1/generations/"
+
+
+class Gateway:
+    """WSGI application of the callers' listener.
+
+    Parameters
+    ----------
+    entry : EntryRole
+        Gives the paths that requests take.
+    """
+
+    def __init__(self, entry: EntryRole):
+        self._entry = entry
+        self._workspaces = Workspaces(entry.cfg.workspaces)
+        self._completions = CompletionPath(entry.generations, entry.rng)
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request; every refusal becomes a problem document."""
+        try:
+            return self._answer(environ, start_response)
+        except v.Refusal as refusal:
+            return _refuse(refusal).send(start_response)
+
+    def _answer(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        headers = request_headers(environ)
+        workspace = self._workspaces.authenticate(headers.get("authorization", ""))
+        path = environ["PATH_INFO"]
+        method = environ["REQUEST_METHOD"]
+        if path in _COMPLETION_PATHS and method == "POST":
+            chat = _COMPLETION_PATHS[path]
+            body = read_body(environ)
+            return self._completions.answer(workspace, chat, headers, body, start_response)
+        if path.startswith(_GENERATIONS_PREFIX) and method == "DELETE":
+            self._completions.cancel(workspace, path.removeprefix(_GENERATIONS_PREFIX))
+            return Response(204).send(start_response)
+        return self._plain(workspace, headers, environ).send(start_response)
+
+    def _plain(
+        self, workspace: WorkspaceSettings, headers: dict[str, str], environ: Environ
+    ) -> Response:
+        path = environ["PATH_INFO"]
+        route = self._entry.plain.find_route(path)
+        if isinstance(route, v.Reason):
+            raise v.Refusal(route, detail=f"no route for {path}")
+        query = environ.get("QUERY_STRING", "")
+        target = f"{path}?{query}" if query else path
+        reply = self._entry.plain.handle(
+            workspace.id, route, environ["REQUEST_METHOD"], target, headers, read_body(environ)
+        )
+        return Response(reply.status, reply.body, list(reply.headers.items()))
+
+
+def _refuse(refusal: v.Refusal) -> Response:
+    count_refusal(refusal)
+    problem = problem_of(refusal)
+    return Response(problem.status, msgspec.json.encode(problem), problem_headers(problem))
