--- a/packages/testing/src/nutmegdrum_testing/callers.py
+++ b/packages/testing/src/nutmegdrum_testing/callers.py
@@ -3,7 +3,7 @@
 import itertools
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 import msgspec
@@ -13,6 +13,7 @@
 
 _MS_PER_S = 1000
 _READ_TIMEOUT_S = 60.0
+_RECONNECT_S = 0.1
 _DONE = "[DONE]"
 
 
@@ -41,7 +42,9 @@
     ended : str
         `done`, `error` (typed event), `refused`, or `cut` if the connection broke off.
     arrivals_ms : list of float
-        Time of each token since the request was sent, in ms.
+        Time of each token since the first request was sent, in ms.
+    began_s : float
+        Monotonic time of the first request in s.
     """
 
     prompt: str
@@ -54,6 +57,7 @@
     finish_reason: str | None = None
     problem: Problem | None = None
     headers: dict[str, str] = {}
+    began_s: float = 0.0
     total_ms: float = 0.0
 
     @property
@@ -158,6 +162,30 @@
             model, result.prompt, max_tokens, entry=entry, headers=headers, into=result, **fields
         )
 
+    def generate_to_end(
+        self,
+        model: str,
+        prompt: str,
+        max_tokens: int,
+        *,
+        entries: Sequence[int],
+        patience_s: float = 15.0,
+        into: StreamResult | None = None,
+        **fields: Any,
+    ) -> StreamResult:
+        """Stream one generation, and reconnect to the next of `entries` whenever it is cut."""
+        result = into if into is not None else StreamResult(prompt=prompt)
+        self.generate(model, prompt, max_tokens, entry=entries[0], into=result, **fields)
+        deadline = time.monotonic() + patience_s
+        for entry in itertools.cycle(entries[1:] or entries):
+            if result.ended not in ("cut", "refused") or time.monotonic() > deadline:
+                break
+            if not result.generation:
+                break
+            time.sleep(_RECONNECT_S)
+            self.reconnect(result, model, max_tokens, entry=entry, **fields)
+        return result
+
     def cancel(self, generation: str, entry: int = 0) -> int:
         """Cancel a generation and return the HTTP status."""
         url = f"http://{self.addresses[entry]}/v1/generations/{generation}"
@@ -170,7 +198,7 @@
         self, result: StreamResult, entry: int, body: dict[str, Any], more: dict[str, str]
     ) -> None:
         url = f"http://{self.addresses[entry]}/v1/completions"
-        began = time.monotonic()
+        began = result.began_s = result.began_s or time.monotonic()
         try:
             response = self._pool.request(
                 "POST",
@@ -228,8 +256,9 @@
 
     def __init__(self, caller: Caller, model: str, prompt: str, max_tokens: int, **options: Any):
         self.result = StreamResult(prompt=prompt)
+        generate = caller.generate_to_end if "entries" in options else caller.generate
         self._thread = threading.Thread(
-            target=caller.generate,
+            target=generate,
             args=(model, prompt, max_tokens),
             kwargs={"into": self.result, **options},
             daemon=True,
--- a/packages/testing/src/nutmegdrum_testing/deployment.py
+++ b/packages/testing/src/nutmegdrum_testing/deployment.py
@@ -18,6 +18,7 @@
 
 READY_TIMEOUT_S = 30.0
 _TAIL_CHARS = 2_000
+_ANY = ""
 MODEL_SERVICE = "llm"
 PLAIN_SERVICE = "booking"
 MODEL = "m"
@@ -41,7 +42,8 @@
     states, entries : int
         Daemons of each role; the first `shared` entry daemons hold state too, and count as both.
     peer_links, engine_links : bool
-        Whether each pair of daemons, or of daemon and engine, talks over a link that can be cut.
+        Whether each pair of daemons talks over a link that can be cut, and each backend server
+        is reached by one.
     workspace_limits : dict
         Limits of each workspace, in the words of the settings.
     settings : dict
@@ -211,9 +213,16 @@
         return BookingCaller(addresses, key_of(workspace), pool=self.pool)
 
     def link(self, source: str, target: str) -> Link:
-        """Return the link that carries what `source` sends to `target` (VM or backend ids)."""
+        """Return the link that carries what `source` sends to `target`, both VMs."""
         return self.links[(source, target)]
 
+    def engine_link(self, backend: str) -> Link:
+        """Return the link that carries what all daemons send to a backend server.
+
+        There is one for each, since entry VMs learn the addresses from the state leader.
+        """
+        return self.links[(_ANY, backend)]
+
     def daemon(self, vm: str) -> Daemon:
         """Return the daemon of a VM."""
         return next(daemon for daemon in self.daemons if daemon.vm == vm)
@@ -319,7 +328,7 @@
                     "methods": {"GET": "idempotent", "POST": "non-idempotent"},
                 }
             ],
-            "backend_servers": [self._backend(vm, i) for i in range(len(self.backends))],
+            "backend_servers": [self._backend(i) for i in range(len(self.backends))],
             "plugins": options.plugins,
         }
         if "state" in kinds[vm]:
@@ -340,11 +349,11 @@
             found["operators"] = listen["operators"]
         return found
 
-    def _backend(self, vm: str, index: int) -> dict[str, Any]:
+    def _backend(self, index: int) -> dict[str, Any]:
         backend = self.backends[index]
         address = backend.address
         if self.options.engine_links:
-            address = self._link(vm, backend.id, address).address
+            address = self._link(_ANY, backend.id, address).address
         is_engine = index < self.options.engines
         return {
             "id": backend.id,
