Prove bookings and quarantine with real processes

Kill -9 of an owner and of a backend server in mid-booking, paused owners, lost quorum, a crashing request sent again at another VM: at most one execution a key and two engines a culprit.

--- /dev/null
+++ b/packages/kernel/tests/test_plain_processes.py
@@ -0,0 +1,161 @@
+import random
+import threading
+from collections import Counter
+
+import pytest
+from nutmegdrum_coord.clock import SystemClock
+from nutmegdrum_testing.deployment import Deployment, Options
+from nutmegdrum_testing.faults import Fault, FaultKind
+from nutmegdrum_testing.waiting import wait_for
+
+CALL_MS = 20
+DISPATCH_DEADLINE_MS = 2_000
+OPTIONS = Options(
+    states=3, entries=2, engines=1, plains=2, plain_options=["--call-ms", str(CALL_MS)]
+)
+
+
+@pytest.fixture
+def deployment():
+    with Deployment(OPTIONS) as running:
+        yield running
+
+
+class Booking:
+    """Booking that is made in a thread of its own."""
+
+    def __init__(self, caller, what, key, entry=0):
+        self.what = what
+        self.key = key
+        self.result = None
+        self._call = (caller, entry)
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        caller, entry = self._call
+        self.result = caller.book(self.what, self.key, entry)
+
+    def join(self):
+        self._thread.join(40)
+        assert self.result is not None
+        return self.result
+
+
+def executions_of(deployment, key):
+    return [entry for entry in deployment.executions() if entry["key"] == key]
+
+
+def executed(deployment):
+    return wait_for(deployment.executions)
+
+
+class TestBooking:
+    def test_resend_at_another_vm_gets_the_recorded_reply(self, deployment):
+        caller = deployment.booking_caller()
+        first = caller.book("farm", "k1", entry=0)
+        again = caller.book("farm", "k1", entry=1)
+        assert first.status == again.status == 201
+        assert again.body == first.body
+        assert again.headers["Idempotency-Replayed"] == "true"
+        assert len(executions_of(deployment, "k1")) == 1
+
+    def test_same_key_with_another_body_is_a_conflict(self, deployment):
+        caller = deployment.booking_caller()
+        caller.book("farm", "k1")
+        problem = caller.book("pit", "k1", entry=1).problem
+        assert (problem.reason, problem.verdict) == ("key-conflict", "not-run")
+
+    def test_no_quorum_refuses_bookings_as_not_run_and_serves_look_ups(self, deployment):
+        caller = deployment.booking_caller()
+        booking = caller.book("farm", "k1").body["booking"]
+        for state in deployment.states[1:]:
+            state.running.kill()
+        refused = wait_for(lambda: _refused(caller.book("farm", "k2", entry=1)), 20)
+        assert refused.problem.verdict == "not-run"
+        assert int(refused.headers["Retry-After"]) > 0
+        assert executions_of(deployment, "k2") == []
+        found = [caller.look_up(booking, entry).status for entry in (0, 1, 0, 1)]
+        assert set(found) <= {200, 404}
+
+    def test_backend_server_that_dies_after_the_booking_is_not_asked_again(self, deployment):
+        caller = deployment.booking_caller()
+        for plain in deployment.plains:
+            plain.control.set_faults(Fault(kind=FaultKind.DIE, prompt="pit", after_execution=True))
+        lost = caller.book("pit", "k1")
+        assert (lost.problem.reason, lost.problem.verdict) == ("backend-lost", "may-have-run")
+        again = caller.book("pit", "k1", entry=1)
+        assert again.problem.verdict == "may-have-run"
+        running = [plain for plain in deployment.plains if plain.process.exit_code is None]
+        assert len(running) == 1
+        assert executions_of(deployment, "k1") == []
+
+    def test_killed_owner_leaves_a_claim_that_nobody_runs_again(self, deployment):
+        caller = deployment.booking_caller()
+        for plain in deployment.plains:
+            plain.control.set_faults(Fault(kind=FaultKind.HANG, prompt="pit", after_execution=True))
+        booking = Booking(caller, "pit", "k1")
+        executed(deployment)
+        deployment.daemon("n1").running.kill()
+        assert booking.join().status == 0
+        again = caller.book("pit", "k1", entry=1)
+        assert again.problem.verdict == "may-have-run"
+        assert len(executions_of(deployment, "k1")) == 1
+
+
+class TestPausedOwner:
+    def test_bookings_of_an_owner_that_pauses_run_at_most_once(self, deployment):
+        caller = deployment.booking_caller()
+        rng = random.Random(4)
+        results = {}
+        for pause in range(3):
+            bookings = [Booking(caller, "farm", f"k{pause}-{n}") for n in range(12)]
+            deployment.daemon("n1").running.pause()
+            resent = [Booking(caller, "farm", b.key, entry=1) for b in bookings]
+            rng.shuffle(resent)
+            for booking in resent:
+                results.setdefault(booking.key, []).append(booking.join())
+            _outlast_dispatch_deadline()
+            deployment.daemon("n1").running.resume()
+            for booking in bookings:
+                results[booking.key].append(booking.join())
+        ledger = Counter(entry["key"] for entry in deployment.executions())
+        assert max(ledger.values()) == 1
+        for key, replies in results.items():
+            bodies = {reply.body["booking"] for reply in replies if reply.status == 201}
+            assert len(bodies) <= 1
+            if not ledger[key]:
+                assert not bodies
+
+
+class TestCrashingRequest:
+    def test_costs_two_engines_and_is_refused_at_every_vm(self):
+        options = Options(states=3, entries=2, engines=5, engine_options=["--token-ms", "20"])
+        with Deployment(options) as deployment:
+            caller = deployment.caller()
+            for engine in deployment.engines:
+                engine.control.set_faults(Fault(kind=FaultKind.DIE, prompt="poison"))
+            first = caller.generate("m", "poison", 20, entry=0)
+            assert first.problem.reason == "quarantined"
+            assert first.problem.verdict == "may-have-run"
+            again = wait_for(lambda: _quarantined(caller.generate("m", "poison", 20, entry=1)), 5)
+            assert again.problem.verdict == "not-run"
+            dead = [e for e in deployment.engines if e.process.exit_code is not None]
+            assert len(dead) == 2
+            caller.generate("m", "a hive's history", 20, entry=1).check(20)
+
+
+def _refused(result):
+    return result if result.problem is not None else None
+
+
+def _quarantined(result):
+    assert result.ended != "done"
+    return result if result.problem.reason == "quarantined" else None
+
+
+def _outlast_dispatch_deadline():
+    """Wait until the claims of the paused owner can't be sent any more."""
+    clock = SystemClock()
+    until_ms = clock.elapsed_ms() + DISPATCH_DEADLINE_MS + 100
+    wait_for(lambda: clock.elapsed_ms() > until_ms)
