--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -13,7 +13,7 @@
 from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.gateway import Gateway
 from nutmegdrum.guarded_routing import GuardedRouting
-from nutmegdrum.heartbeat import Heartbeater
+from nutmegdrum.heartbeat import Heartbeater, PeerViews
 from nutmegdrum.plain import PlainPath
 from nutmegdrum.plugins import Kind, Registry
 from nutmegdrum.routing import Router
@@ -22,6 +22,7 @@
 from nutmegdrum.state_client import StateClient
 from nutmegdrum.streaming import Streaming
 from nutmegdrum.ticker import Ticker
+from nutmegdrum.version_watch import VersionWatch
 from nutmegdrum.wsgi import HttpListener
 
 BACKEND_PROTOCOL = "http"
@@ -55,7 +56,8 @@
         self.rng = rng
         self.registry = registry
         protocol = registry.get(Kind.BACKEND_PROTOCOL, BACKEND_PROTOCOL)
-        self.router = Router(cfg, clock, rng, registry)
+        self.watch = VersionWatch(clock)
+        self.router = Router(cfg, clock, rng, registry, self.watch.allows)
         self.admission = Admission(cfg)
         self.state = StateClient(rpc, cfg.state_replicas)
         self.guard = CrashGuard(cfg.vm.id, clock, self._propose_suspicion)
@@ -70,12 +72,17 @@
             registry,
             self.admission,
             self.guard,
+            self.watch,
         )
         self.generations = self.streaming.generations
         self.journal = self.streaming.journal
         claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim)
         self.plain = PlainPath(cfg, clock, routing, self.guard, claims)
-        self.heartbeater = Heartbeater(cfg, clock, self.state, self.router, incarnation, self.guard)
+        peers = PeerViews(cfg, rpc, rng, cfg.entry_vms)
+        self.heartbeater = Heartbeater(
+            cfg, clock, self.state, self.router, self.guard, self.watch, peers, incarnation
+        )
+        self.gossip = self.heartbeater.gossip
         self._ticker = Ticker("heartbeat", cfg.control.heartbeat, self.heartbeater.beat)
         self._plain_ticker = Ticker("plain", PLAIN_TICK_MS, self.plain.tick)
         self._listener = HttpListener(
