--- a/packages/kernel/src/nutmegdrum/heartbeat.py
+++ b/packages/kernel/src/nutmegdrum/heartbeat.py
@@ -1,25 +1,80 @@
 """Reports of an entry VM to the state leader, and the views that come back."""
 
+import random
 import threading
+from collections.abc import Sequence
 
-from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import IncarnationId
+import msgspec
+from nutmegdrum_coord.clock import Clock, ElapsedMs
+from nutmegdrum_coord.ids import BackendId, IncarnationId, NoteNumber
+from nutmegdrum_coord.verdict import Refusal
 
 from nutmegdrum import metrics
 from nutmegdrum.crashguard import CrashGuard
+from nutmegdrum.fleet import VmState
+from nutmegdrum.freshness import FreshView
 from nutmegdrum.logs import log_change
+from nutmegdrum.messages import LoadReport
+from nutmegdrum.packing import pack, unpack
+from nutmegdrum.platform import PlatformClient
 from nutmegdrum.routing import Router
-from nutmegdrum.rpc import PeerUnreachable
-from nutmegdrum.settings import Settings
+from nutmegdrum.rpc import PeerUnreachable, RpcClient
+from nutmegdrum.settings import PeerSettings, Settings
 from nutmegdrum.state_client import StateClient
-from nutmegdrum.view import HeartbeatAnswer, HeartbeatReport, View
+from nutmegdrum.version_watch import VersionWatch
+from nutmegdrum.view import BackendLoad, HeartbeatAnswer, HeartbeatReport, View
+
+PEER_TIMEOUT_MS = 500
+
+
+class GossipDigest(msgspec.Struct, frozen=True):
+    """What an entry VM tells another: the generation of its view, 0 if it has none."""
+
+    generation: int
+
+
+class GossipAnswer(msgspec.Struct, frozen=True):
+    """The other VM's view, if it is newer."""
+
+    view: View | None = None
+
+
+class PeerViews:
+    """Views of other entry VMs, for a VM that no state replica answers.
+
+    Parameters
+    ----------
+    peers : sequence of PeerSettings
+        All entry VMs, this one included.
+    """
+
+    def __init__(
+        self, cfg: Settings, rpc: RpcClient, rng: random.Random, peers: Sequence[PeerSettings]
+    ):
+        self._rpc = rpc
+        self._rng = rng
+        self._peers = [peer for peer in peers if peer.vm != cfg.vm.id]
+
+    def newer(self, generation: int) -> View | None:
+        """Return a newer view from one other entry VM, chosen at random."""
+        if not self._peers:
+            return None
+        peer = self._rng.choice(self._peers)
+        digest = pack(GossipDigest(generation))
+        try:
+            data = self._rpc.call(peer.address, "gossip", digest, timeout_ms=PEER_TIMEOUT_MS)
+        except (PeerUnreachable, Refusal):
+            return None
+        return unpack(data, GossipAnswer).view
 
 
 class Heartbeater:
-    """Sends heartbeats and hands new views to routing.
+    """Sends heartbeats and puts new views in force.
 
-    A view is put in force only if its log position is not older than that of the view in force,
-    so that an accepted note never reverts here.
+    While the freshness lease lasts, the state leader's view says all. Without it this VM goes on
+    with settled versions, reads the platform's list for leaving backend servers by itself, and
+    asks other entry VMs for newer views. An older view never replaces a newer one, so that an
+    accepted note does not revert here.
 
     Parameters
     ----------
@@ -33,21 +88,34 @@
         clock: Clock,
         state: StateClient,
         router: Router,
-        incarnation: IncarnationId,
         guard: CrashGuard,
+        watch: VersionWatch,
+        peers: PeerViews,
+        incarnation: IncarnationId,
     ):
         self._cfg = cfg
         self._clock = clock
         self._state = state
         self._router = router
-        self._incarnation = incarnation
         self._guard = guard
+        self._watch = watch
+        self._peers = peers
+        self._incarnation = incarnation
+        self._platform = PlatformClient(cfg.platform)
+        self._fresh_view = FreshView()
+        self._was_fresh = False
         self._lock = threading.Lock()
-        self._view: View | None = None
 
     def has_view(self) -> bool:
         """Return whether a view was received since the start."""
-        return self._view is not None
+        return self._fresh_view.known is not None
+
+    def gossip(self, digest: bytes) -> bytes:
+        """Answer another entry VM's digest with this VM's view, if it is newer."""
+        theirs = unpack(digest, GossipDigest)
+        view = self._fresh_view.known
+        newer = view is not None and view.generation > theirs.generation
+        return pack(GossipAnswer(view if newer else None))
 
     def beat(self) -> None:
         """Send one heartbeat and take its answer."""
@@ -56,36 +124,78 @@
             answer = self._state.heartbeat(self._report(), int(self._cfg.control.freshness_lease))
         except PeerUnreachable:
             metrics.HEARTBEATS.labels("lost").inc()
-            return
-        metrics.HEARTBEATS.labels("fresh" if answer.fresh else "stale").inc()
-        self._take(answer, sent_ms)
+            self._ask_peer(sent_ms)
+        else:
+            metrics.HEARTBEATS.labels("fresh" if answer.fresh else "stale").inc()
+            self._take(answer, sent_ms)
+        self._check_freshness()
 
     def _report(self) -> HeartbeatReport:
-        view = self._view
+        view = self._fresh_view.known
+        watched = self._watch.take()
         return HeartbeatReport(
             vm=self._cfg.vm.id,
             incarnation=self._incarnation,
             generation=view.generation if view else 0,
-            note=view.note if view else 0,
+            note=view.note if view else NoteNumber(0),
             ready=view is not None,
             suspected=self._router.suspected(),
+            samples=watched.samples,
+            trips=watched.trips,
+            running=watched.running,
         )
 
-    def _take(self, answer: HeartbeatAnswer, sent_ms: int) -> None:
-        if answer.view is not None:
-            self._put_in_force(answer.view, sent_ms)
-        elif answer.fresh:
-            self._router.renew_grants(sent_ms)
+    def _take(self, answer: HeartbeatAnswer, sent_ms: ElapsedMs) -> None:
+        for load in answer.loads:
+            self._router.on_load_report(load.id, _report_of(load))
+        with self._lock:
+            before = self._fresh_view.known
+            if self._fresh_view.on_answer(sent_ms, answer):
+                self._put_in_force(before, sent_ms if answer.fresh else ElapsedMs(0))
+            elif answer.fresh and answer.view is None:
+                self._router.renew_grants(sent_ms)
 
-    def _put_in_force(self, view: View, sent_ms: int) -> None:
+    def _ask_peer(self, sent_ms: ElapsedMs) -> None:
+        known = self._fresh_view.known
+        view = self._peers.newer(known.generation if known else 0)
+        if view is None:
+            return
         with self._lock:
-            if self._view is not None and view.position < self._view.position:
-                return
-            changed = self._view is None or view.note != self._view.note
-            self._view = view
-        self._router.set_view(view, sent_ms)
-        self._guard.set_view(view, sent_ms)
+            before = self._fresh_view.known
+            if self._fresh_view.on_peer_view(view):
+                self._put_in_force(before, ElapsedMs(0))
+
+    def _put_in_force(self, before: View | None, granted_ms: ElapsedMs) -> None:
+        view = self._fresh_view.known
+        assert view is not None
+        self._router.set_view(view, granted_ms)
+        self._guard.set_view(view, self._clock.elapsed_ms())
+        self._watch.set_view(view)
         metrics.VIEW_POSITION.set(view.position)
         metrics.NOTE_IN_FORCE.set(view.note)
-        if changed:
+        if before is None or before.note != view.note:
             log_change("note-in-force", note=view.note, position=view.position)
+
+    def _check_freshness(self) -> None:
+        fresh = self._fresh_view.freshness(self._clock.elapsed_ms()).fresh
+        metrics.VIEW_FRESH.set(int(fresh))
+        if fresh != self._was_fresh:
+            log_change("view-fresh" if fresh else "view-stale")
+        self._was_fresh = fresh
+        self._router.set_leaving(frozenset() if fresh else self._leaving())
+
+    def _leaving(self) -> frozenset[BackendId]:
+        live = self._platform.live_list()
+        if live is None:
+            return frozenset()
+        return frozenset(BackendId(vm.id) for vm in live.vms if vm.state is VmState.LEAVING)
+
+
+def _report_of(load: BackendLoad) -> LoadReport:
+    return LoadReport(
+        sequence=load.sequence,
+        running=load.running,
+        queued=load.queued,
+        slots=load.slots,
+        role=load.role,
+    )
--- a/packages/kernel/src/nutmegdrum/routing.py
+++ b/packages/kernel/src/nutmegdrum/routing.py
@@ -4,7 +4,7 @@
 import random
 import threading
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import AdapterName, BackendId, ModelName, VersionName, VmId
@@ -38,9 +38,20 @@
         Source of samples and draws.
     registry : Registry
         Plug-ins; the first balancer among them is used.
+    allows : callable
+        Says whether this VM lets new requests go to a version under trial.
     """
 
-    def __init__(self, cfg: Settings, clock: Clock, rng: random.Random, registry: Registry):
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        rng: random.Random,
+        registry: Registry,
+        allows: Callable[[ModelName, VersionName], bool] = lambda model, version: True,
+    ):
+        self._allows = allows
+        self._leaving: frozenset[BackendId] = frozenset()
         self._clock = clock
         self._rng = rng
         self._vm = cfg.vm.id
@@ -65,6 +76,16 @@
         with self._lock:
             self._granted_ms = max(self._granted_ms, received_ms)
 
+    def set_leaving(self, leaving: frozenset[BackendId]) -> None:
+        """Give no new work to `leaving`, in addition to what the view says."""
+        with self._lock:
+            self._leaving = leaving
+
+    def load(self, backend: BackendId) -> float:
+        """Return the estimated work of a backend server as a share of its slots."""
+        with self._lock:
+            return self._states[backend].load()
+
     def choose(self, query: RouteQuery) -> Choice | Reason:
         """Return a backend server and version for the query, or why there is none.
 
@@ -139,7 +160,7 @@
 
     def _granted_trial(self, model: ModelView) -> TrialView | None:
         trial = model.trial
-        if trial is None:
+        if trial is None or not self._allows(model.name, trial.version):
             return None
         expired = self._clock.elapsed_ms() >= self._granted_ms + trial.grant_ms
         return None if expired else trial
@@ -166,6 +187,7 @@
             backend
             for backend in self._backends.get(service, [])
             if not backend.leaving
+            and backend.id not in self._leaving
             and backend.id not in query.excluded
             and self._states[backend.id].role == SERVING_ROLE
             and _serves(backend, wanted, settled)
--- a/packages/kernel/src/nutmegdrum/routing_query.py
+++ b/packages/kernel/src/nutmegdrum/routing_query.py
@@ -64,6 +64,10 @@
         """Count the end of an attempt that `started` counted."""
         ...
 
+    def load(self, backend: BackendId) -> float:
+        """Return the estimated work of a backend server as a share of its slots."""
+        ...
+
     def lost(self, backend: BackendId, kind: LossKind) -> None:
         """Suspect a backend server that stopped serving."""
         ...
--- a/packages/kernel/src/nutmegdrum/streaming.py
+++ b/packages/kernel/src/nutmegdrum/streaming.py
@@ -6,6 +6,7 @@
 from nutmegdrum_coord.clock import Clock
 
 from nutmegdrum.admission import Admission
+from nutmegdrum.attempts import Attempts, StreamGuard
 from nutmegdrum.backends import BackendProtocol
 from nutmegdrum.generations import Generations
 from nutmegdrum.holders import HolderChoice
@@ -14,14 +15,16 @@
 from nutmegdrum.journal_service import JournalService
 from nutmegdrum.plugins import Registry
 from nutmegdrum.recovery import RecoveryBudget
-from nutmegdrum.relay import Relay, StreamGuard
+from nutmegdrum.relay import Relay
 from nutmegdrum.routing_query import Routing
 from nutmegdrum.rpc import RpcClient
 from nutmegdrum.sessions import Sessions
 from nutmegdrum.settings import Settings
+from nutmegdrum.starts import Starts
 from nutmegdrum.suspicion import Suspicion
 from nutmegdrum.ticker import Ticker
 from nutmegdrum.turns import RecoveryTurns
+from nutmegdrum.version_watch import VersionWatch
 
 REAP_PERIOD_MS = 500
 
@@ -33,6 +36,10 @@
     ----------
     rng : Random
         Source of ids that cannot be guessed, and of epochs.
+    guard : StreamGuard
+        Told of lost attempts, to find requests that crash backend servers.
+    watch : VersionWatch
+        Told of all attempts, to judge versions.
     """
 
     def __init__(
@@ -45,7 +52,8 @@
         routing: Routing,
         registry: Registry,
         admission: Admission,
-        guard: StreamGuard | None = None,
+        guard: StreamGuard,
+        watch: VersionWatch,
     ):
         streams = cfg.streams
         vm = cfg.vm.id
@@ -54,18 +62,11 @@
         turns = RecoveryTurns(clock, RecoveryBudget(streams.recoveries_per_s))
         self.suspicion = Suspicion(streams)
         self._sender = JournalSender(vm, streams, rpc, peers, choice)
-        self.relay = Relay(
-            streams,
-            clock,
-            protocol,
-            routing,
-            registry,
-            self._sender,
-            turns,
-            self.suspicion,
-            time.sleep,
-            guard,
+        self._attempts = Attempts(
+            streams, clock, protocol, routing, registry, self._sender, self.suspicion, guard, watch
         )
+        starts = Starts(streams, clock, protocol, routing, turns, self._attempts, time.sleep)
+        self.relay = Relay(clock, self._sender, self._attempts, starts)
         self.sessions = Sessions(clock, self.relay, streams.caller_grace, streams.journal_retention)
         self.journal = JournalService(clock, streams.journal_retention, self.sessions.on_taken_over)
         reader = JournalReader(vm, peers, rpc, self.journal, choice, rng, streams.journal_timeout)
@@ -87,11 +88,13 @@
     def start(self) -> None:
         """Start the threads."""
         self._sender.start()
+        self._attempts.start()
         self._reaper.start()
 
     def stop(self) -> None:
         """Stop the threads."""
         self._reaper.stop()
+        self._attempts.stop()
         self._sender.stop()
 
     def _reap(self) -> None:
