--- a/packages/kernel/src/nutmegdrum/balancing.py
+++ b/packages/kernel/src/nutmegdrum/balancing.py
@@ -38,6 +38,10 @@
         """Take note of changes of a backend server's prefix cache."""
         ...
 
+    def wants_cache_events(self) -> bool:
+        """Return whether cache events are of any use to this policy."""
+        ...
+
 
 class SampledBalancer:
     """Least loaded of a few candidates drawn at random.
@@ -63,3 +67,7 @@
 
     def on_cache_events(self, backend: BackendId, events: Sequence[CacheEvent]) -> None:
         """Do nothing: caches play no part in this policy."""
+
+    def wants_cache_events(self) -> bool:
+        """Return False: caches play no part in this policy."""
+        return False
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -9,6 +9,8 @@
 from nutmegdrum_coord.quarantine import QuarantineAnswer
 
 from nutmegdrum.admission import Admission
+from nutmegdrum.cache_poller import POLL_MS as CACHE_POLL_MS
+from nutmegdrum.cache_poller import CachePoller
 from nutmegdrum.claimed_calls import ClaimWriter
 from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.gateway import Gateway
@@ -85,6 +87,8 @@
         self.gossip = self.heartbeater.gossip
         self._ticker = Ticker("heartbeat", cfg.control.heartbeat, self.heartbeater.beat)
         self._plain_ticker = Ticker("plain", PLAIN_TICK_MS, self.plain.tick)
+        poller = CachePoller(protocol, self.router)
+        self._cache_ticker = Ticker("cache-events", CACHE_POLL_MS, poller.tick)
         self._listener = HttpListener(
             cfg.listen.callers,
             Gateway(self),
@@ -112,6 +116,7 @@
         """
         self._ticker.start()
         self._plain_ticker.start()
+        self._cache_ticker.start()
         self.streaming.start()
         self._listener.start()
 
@@ -126,5 +131,6 @@
         """Close the callers' listener."""
         self._ticker.stop()
         self._plain_ticker.stop()
+        self._cache_ticker.stop()
         self._listener.stop()
         self.streaming.stop()
--- a/packages/kernel/src/nutmegdrum/routing.py
+++ b/packages/kernel/src/nutmegdrum/routing.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 
 from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import AdapterName, BackendId, ModelName, VersionName, VmId
+from nutmegdrum_coord.ids import BackendId, ModelName, VersionName, VmId
 from nutmegdrum_coord.verdict import NO_BACKEND, OVERLOADED, Reason
 
 from nutmegdrum.backend_state import BackendState
@@ -128,6 +128,15 @@
         with self._lock:
             self._balancer.on_cache_events(backend, events)
 
+    def used_backends(self) -> list[BackendSettings]:
+        """Return the backend servers whose cache events the balancer wants."""
+        with self._lock:
+            if not self._balancer.wants_cache_events():
+                return []
+            models = {model.service for model in self._models.values()}
+            used = [b for service in models for b in self._backends.get(service, [])[:SUBSET_SIZE]]
+            return [self._settings(backend) for backend in used if not backend.leaving]
+
     def suspected(self) -> list[BackendId]:
         """Return the backend servers that this VM suspects."""
         with self._lock:
@@ -182,16 +191,19 @@
         model = self._models.get(query.model)
         service = model.service if model is not None else query.model
         wanted = LoadedVersion(query.model, version, query.adapter)
-        settled = model is None or version == model.settled
-        return [
-            backend
-            for backend in self._backends.get(service, [])
-            if not backend.leaving
-            and backend.id not in self._leaving
-            and backend.id not in query.excluded
-            and self._states[backend.id].role == SERVING_ROLE
-            and _serves(backend, wanted, settled)
-        ]
+        usable = [b for b in self._backends.get(service, []) if self._usable(b, query)]
+        loaded = [b for b in usable if wanted in b.loaded]
+        if loaded or query.adapter or not (model is None or version == model.settled):
+            return loaded
+        return [b for b in usable if not b.loaded]
+
+    def _usable(self, backend: BackendView, query: RouteQuery) -> bool:
+        return not (
+            backend.leaving
+            or backend.id in self._leaving
+            or backend.id in query.excluded
+            or self._states[backend.id].role != SERVING_ROLE
+        )
 
     def _preferred(self, eligible: list[BackendView]) -> list[BackendView]:
         now_ms = self._clock.elapsed_ms()
@@ -219,12 +231,6 @@
     return hashlib.blake2b(f"{vm}/{backend}".encode(), digest_size=8).digest()
 
 
-def _serves(backend: BackendView, wanted: LoadedVersion, settled: bool) -> bool:
-    if not backend.loaded:
-        return settled and wanted.adapter == AdapterName("")
-    return wanted in backend.loaded
-
-
 def _initial_models(cfg: Settings) -> list[ModelView]:
     return [ModelView(name=m.name, service=m.service, settled=m.version) for m in cfg.models]
 
