--- /dev/null
+++ b/packages/kernel/tests/test_leader.py
@@ -0,0 +1,132 @@
+import random
+
+import msgspec
+from nutmegdrum.fleet import ListedVm, LiveList
+from nutmegdrum.leader import Leader, NeedWeights, Propose
+from nutmegdrum.messages import LoadedVersion, LoadReport
+from nutmegdrum.orders import Orders
+from nutmegdrum.packing import pack, unpack
+from nutmegdrum.queries import AuditQuery, Report
+from nutmegdrum.releases import Releases, SubmitNote
+from nutmegdrum.reports import answer_query
+from nutmegdrum.schedule import Weights
+from nutmegdrum.settings import parse_settings
+from nutmegdrum.view import HeartbeatAnswer, HeartbeatReport
+from nutmegdrum_coord.parts import PartedState, encode_command
+from nutmegdrum_plugins.sequential_judge import SequentialJudgePlugin
+
+ADDRESS = "127.0.0.1:0"
+WALL_MS = 1_800_000_000_000
+SETTINGS = {
+    "deployment": "test",
+    "vm": {"id": "s1", "data_centre": "a", "region": "r", "data_folder": "/x"},
+    "roles": ["state"],
+    "listen": {"ops": ADDRESS, "peers": ADDRESS, "operators": ADDRESS},
+    "state_replicas": [{"vm": "s1", "address": ADDRESS, "data_centre": "a"}],
+    "entry_vms": [{"vm": f"e{i}", "address": ADDRESS, "data_centre": "a"} for i in range(2)],
+    "services": [{"name": "s", "kind": "model"}],
+    "models": [{"name": "m", "service": "s", "version": "1"}],
+    "backend_servers": [
+        {"id": f"b{i}", "address": ADDRESS, "service": "s", "data_centre": "a"} for i in range(3)
+    ],
+}
+
+
+class World:
+    """One leader over a state whose log commits at once."""
+
+    def __init__(self):
+        cfg = parse_settings(msgspec.json.encode(SETTINGS))
+        self.state = PartedState([Releases(cfg.models), Orders()])
+        judges = SequentialJudgePlugin().make
+        self.leader = Leader(cfg, self.state, random.Random(0), judges, 1, 0)
+        self.now = 0
+
+    def submit(self, complete_by="2099-01-01T00:00:00Z"):
+        change = {"model": "m", "version": "2", "complete_by": complete_by}
+        note = msgspec.json.encode({"number": 1, "changed": [change]})
+        self.apply(SubmitNote(operator="anu", note=note))
+
+    def apply(self, command):
+        self.state.apply(self.state.position + 1, self.now, encode_command(command))
+
+    def tick(self):
+        self.now += 500
+        outputs = self.leader.tick(self.now, self.now, WALL_MS + self.now)
+        for output in outputs:
+            if isinstance(output, Propose):
+                self.apply(output.command)
+        return outputs
+
+    def beat(self, vm, **keys):
+        known = {"vm": vm, "incarnation": "i", "generation": 0, "note": 0, "ready": True}
+        return self.leader.on_heartbeat(self.now, HeartbeatReport(**known | keys))
+
+    def report(self):
+        observed = self.leader.observed(self.now, WALL_MS + self.now)
+        return answer_query(self.state, observed, Report())
+
+
+class TestLate:
+    def test_late_is_reported_as_soon_as_it_is_known(self):
+        world = World()
+        for backend in ("b0", "b1", "b2"):
+            report = LoadReport(
+                sequence=1, running=0, queued=0, slots=16, loaded=[LoadedVersion("m", "1")]
+            )
+            world.leader.on_load_report(0, backend, report)
+        world.submit("2027-01-15T08:10:00Z")
+        needed = [output for output in world.tick() if isinstance(output, NeedWeights)]
+        assert needed == [NeedWeights("m", "2")]
+        assert world.report().open_late == 0
+        world.leader.on_weights(needed[0], Weights(400 << 30, 1 << 30))
+        world.tick()
+        assert world.report().open_late == 1
+        events = answer_query(world.state, world.leader.observed(0, 0), AuditQuery()).events
+        assert [event.action for event in events].count("move late") == 1
+        world.tick()
+        move = world.report().moves[0]
+        assert move.predicted > move.complete_by
+        assert not move.late
+
+
+class TestAcknowledgements:
+    def test_report_names_vms_without_the_note_and_why(self):
+        world = World()
+        world.submit()
+        view = world.beat("e0").view
+        assert view.note == 1
+        world.beat("e0", generation=view.generation, note=1)
+        missing = {entry.vm: entry.why for entry in world.report().unacknowledged}
+        assert missing == {"e1": "no heartbeat since this leader began"}
+        world.now += 10_000
+        world.beat("e1")
+        missing = {entry.vm: entry.why for entry in world.report().unacknowledged}
+        assert missing == {
+            "e0": "no heartbeat for 10000 ms; serves settled versions only",
+            "e1": "has note 0 in force",
+        }
+
+    def test_known_view_is_not_sent_again(self):
+        world = World()
+        view = world.beat("e0").view
+        assert world.beat("e0", generation=view.generation).view is None
+        world.submit()
+        assert world.beat("e0", generation=view.generation).view.generation > view.generation
+
+    def test_answers_can_be_encoded(self):
+        answer = World().beat("e0")
+        assert unpack(pack(answer), HeartbeatAnswer) == answer
+
+
+class TestLiveList:
+    def test_leaving_shows_in_the_view_and_older_lists_do_not_undo_it(self):
+        world = World()
+        for sequence, state in ((2, "leaving"), (1, "live")):
+            vm = ListedVm(id="b0", address=ADDRESS, kind="backend", service="s", state=state)
+            live = msgspec.convert(
+                msgspec.to_builtins(LiveList(sequence=sequence, vms=[vm])), LiveList
+            )
+            world.leader.on_live_list(live)
+        leaving = [backend.id for backend in world.leader.view().backends if backend.leaving]
+        assert leaving == ["b0"]
--- a/packages/testing/src/nutmegdrum_testing/bench/rollout_faults.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/rollout_faults.py
@@ -62,6 +62,9 @@
     minutes: int = 15
 
 
+NO_SLACK = Case("good, deaths, no slack", None, World(death_every_ms=40_000), minutes=5)
+"""Row whose time is too short for recovery and the move to have all they want."""
+
 CASES = [
     Case("errors at once", Behaviour(error=0.5)),
     Case("few errors", Behaviour(error=0.05)),
@@ -81,7 +84,7 @@
     Case("good, little time", None, minutes=6),
     Case("good, engine deaths", None, World(death_every_ms=60_000), minutes=12),
     Case("good, deaths and little time", None, World(death_every_ms=60_000), minutes=7),
-    Case("good, deaths, no slack", None, World(death_every_ms=40_000), minutes=5),
+    NO_SLACK,
     Case("good, load spikes", None, World(load_spikes=True)),
     Case("good, crashing requests", None, World(crashing_requests=True)),
     Case("good, all together", None, World(120_000, True, True), minutes=20),
