Prove moves with real processes

A good version is done in time; a version that answers errors is taken back while no caller notices; an entry VM that is cut off sends nothing to a version under trial once its lease has run out.

--- /dev/null
+++ b/packages/kernel/tests/test_move_processes.py
@@ -0,0 +1,106 @@
+import datetime
+import json
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from nutmegdrum_testing.deployment import Deployment, Options
+from nutmegdrum_testing.faults import Fault, FaultKind
+from nutmegdrum_testing.traffic import Traffic
+from nutmegdrum_testing.waiting import wait_for
+
+TIMEOUT_S = 120.0
+COMPLETE_BY = datetime.timedelta(seconds=90)
+FRESHNESS_LEASE_MS = 2_000
+MAX_BAD_SHARE = 0.1
+OPTIONS = Options(
+    states=3,
+    entries=2,
+    engines=3,
+    engine_options=("--token-ms", "5", "--first-token-ms", "5"),
+    peer_links=True,
+    settings={"moves": {"step_time": "1s", "bake_time": "3s"}},
+)
+
+
+@pytest.fixture
+def deployment():
+    with Deployment(OPTIONS) as running:
+        yield running
+
+
+def command(deployment, *args):
+    program = str(Path(sys.executable).parent / "nutmegdrum")
+    settings = str(deployment.states[0].settings_file)
+    args = [program, *args, "--settings", settings, "--json"]
+    done = subprocess.run(args, capture_output=True, text=True, check=True)
+    return json.loads(done.stdout)
+
+
+def submit(deployment, version):
+    complete_by = datetime.datetime.now(datetime.UTC) + COMPLETE_BY
+    change = {"model": "m", "version": version, "complete_by": complete_by.isoformat()}
+    path = deployment.folder / "note.json"
+    path.write_text(json.dumps({"number": 1, "changed": [change]}))
+    return command(deployment, "note", "submit", str(path))
+
+
+def ended_move(deployment):
+    (move,) = command(deployment, "report")["moves"]
+    return move if move["ended"] else None
+
+
+def requests_to(deployment, version):
+    states = [engine.control.state() for engine in deployment.engines]
+    return sum(state["counters"]["by_version"].get(version, 0) for state in states)
+
+
+def requests_served(deployment):
+    states = [engine.control.state() for engine in deployment.engines]
+    return sum(state["counters"]["requests"] for state in states)
+
+
+def view_fresh(daemon):
+    return re.search(r"^nutmegdrum_view_fresh (\S+)", daemon.metrics(), re.M)[1] == "1.0"
+
+
+def set_faults(deployment, *faults):
+    for engine in deployment.engines:
+        engine.control.set_faults(*faults)
+
+
+class TestMove:
+    def test_good_version_gets_all_traffic_in_time(self, deployment):
+        with Traffic(deployment.caller(), "m") as traffic:
+            submit(deployment, "2")
+            move = wait_for(lambda: ended_move(deployment), TIMEOUT_S)
+        assert (move["state"], move["late"]) == ("done", False)
+        assert set(traffic.ended) == {"done"}
+        before = requests_to(deployment, "1")
+        deployment.caller().generate("m", "after the move", 3).check(3)
+        assert requests_to(deployment, "1") == before
+
+    def test_bad_version_is_taken_back_and_callers_do_not_notice(self, deployment):
+        set_faults(deployment, Fault(kind=FaultKind.ERROR, version="2"))
+        with Traffic(deployment.caller(), "m") as traffic:
+            submit(deployment, "2")
+            move = wait_for(lambda: ended_move(deployment), TIMEOUT_S)
+        assert move["state"] == "taken back"
+        assert move["reason"]
+        assert requests_to(deployment, "2") <= MAX_BAD_SHARE * requests_served(deployment)
+        assert set(traffic.ended) == {"done"}
+
+    def test_entry_vm_that_is_cut_off_stops_sending_to_a_version_under_trial(self, deployment):
+        cut_off = deployment.entries[1]
+        with Traffic(deployment.caller(), "m"):
+            submit(deployment, "2")
+            wait_for(lambda: requests_to(deployment, "2") > 0, TIMEOUT_S)
+            for replica in deployment.states:
+                deployment.link(cut_off.vm, replica.vm).silence()
+            wait_for(lambda: not view_fresh(cut_off), TIMEOUT_S)
+        sent = requests_to(deployment, "2")
+        for number in range(100):
+            deployment.caller().generate("m", f"cut off {number}", 1, entry=1).check(1)
+        assert requests_to(deployment, "2") == sent
--- a/packages/testing/src/nutmegdrum_testing/fake_engine.py
+++ b/packages/testing/src/nutmegdrum_testing/fake_engine.py
@@ -33,9 +33,16 @@
 
 
 class Counters(msgspec.Struct):
-    """What the engine did since its start."""
+    """What the engine did since its start.
+
+    Attributes
+    ----------
+    by_version : dict
+        Requests by version, refused ones included.
+    """
 
     requests: int = 0
+    by_version: dict[str, int] = {}
     generated_tokens: int = 0
     prefill_chars: int = 0
     cached_chars: int = 0
@@ -139,6 +146,8 @@
     async def _generate(self, req: Request, exchange: Exchange) -> Response | None:
         call = msgspec.json.decode(req.body, type=EngineCall)
         self._counters.requests += 1
+        by_version = self._counters.by_version
+        by_version[call.version] = by_version.get(call.version, 0) + 1
         luck = self._rng.random()
         refused = await self._refuse(call, exchange, luck)
         if refused is not None:
