--- a/packages/kernel/src/nutmegdrum/journal_reader.py
+++ b/packages/kernel/src/nutmegdrum/journal_reader.py
@@ -1,7 +1,7 @@
 """Reading of streams' copies at other VMs: resume, takeover and idempotency keys."""
 
 from collections.abc import Callable, Iterable, Sequence
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Executor, Future, ThreadPoolExecutor
 from random import Random
 from typing import Any, NamedTuple
 
@@ -84,6 +84,8 @@
         Other entry VMs.
     rng : Random
         Source of the epochs' low bits.
+    pool : Executor or None
+        Makes calls to several VMs at a time; threads of its own by default.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         choice: HolderChoice,
         rng: Random,
         timeout_ms: int,
+        pool: Executor | None = None,
     ):
         self._vm = vm
         self._addresses = {peer.vm: peer.address for peer in peers}
@@ -103,7 +106,7 @@
         self._choice = choice
         self._rng = rng
         self._timeout_ms = timeout_ms
-        self._pool = ThreadPoolExecutor(_MAX_THREADS, thread_name_prefix="journal-read")
+        self._pool = pool or ThreadPoolExecutor(_MAX_THREADS, thread_name_prefix="journal-read")
 
     def fetch(self, generation: GenerationId, workspace: WorkspaceId) -> Survey:
         """Return the copies at the VMs that the id names, or at all if these have none."""
