--- a/packages/kernel/src/nutmegdrum/attempts.py
+++ b/packages/kernel/src/nutmegdrum/attempts.py
@@ -1,7 +1,7 @@
 """Attempts that run: their tokens, silences, losses and ends."""
 
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from typing import Protocol
 
 from nutmegdrum_coord.clock import Clock, ElapsedMs
 
@@ -11,17 +11,36 @@
 from nutmegdrum.messages import BackendLost, Finish, GenerationRequest, LossKind
 from nutmegdrum.plugins import Event, Registry
 from nutmegdrum.routing_query import Routing
-from nutmegdrum.session import Attempt, Batch, Session
+from nutmegdrum.session import Attempt, Batch, Loss, Session
 from nutmegdrum.settings import StreamSettings
-from nutmegdrum.streams import UNHARMED, StreamState
+from nutmegdrum.streams import StreamState
 from nutmegdrum.suspicion import GAP_FACTOR, Suspicion
 from nutmegdrum.token_loop import TokenLoop
+from nutmegdrum.version_watch import Attempted, VersionWatch, route_of
 
 READ_TIMEOUT_MS = 50
 _CANCEL_THREADS = 8
 _MS_PER_S = 1_000
+PERMILLE = 1_000
+GAP_SAMPLE_EVERY = 32
 
-Losses = Callable[[GenerationRequest, BackendLost, bool], None]
+
+class StreamGuard(Protocol):
+    """Finder of requests that crash backend servers, as streams see it."""
+
+    def progressed(self, req: GenerationRequest, tokens: int, ended: bool) -> None:
+        """Note that an attempt yielded `tokens` tokens so far."""
+        ...
+
+    def stream_lost(self, req: GenerationRequest, loss: BackendLost, tokens: int) -> None:
+        """Note that an attempt was lost after it yielded `tokens` tokens; may take a while.
+
+        Raises
+        ------
+        Refusal
+            If the request is named as the cause.
+        """
+        ...
 
 
 class Attempts:
@@ -29,9 +48,10 @@
 
     Parameters
     ----------
-    losses : callable or None
-        Called with the request, the loss, and whether the attempt was kept apart, to find requests
-        that crash backend servers.
+    guard : StreamGuard
+        Told of progress, to find requests that crash backend servers.
+    watch : VersionWatch
+        Told of each attempt, to judge versions.
     """
 
     def __init__(
@@ -43,7 +63,8 @@
         registry: Registry,
         sender: JournalSender,
         suspicion: Suspicion,
-        losses: Losses | None = None,
+        guard: StreamGuard,
+        watch: VersionWatch,
     ):
         self._cfg = cfg
         self._clock = clock
@@ -52,7 +73,8 @@
         self._registry = registry
         self._sender = sender
         self._suspicion = suspicion
-        self._losses = losses
+        self._guard = guard
+        self._watch = watch
         self._long_gap_ms = int(cfg.min_token_timeout / GAP_FACTOR)
         self._loop: TokenLoop[tuple[Session, Attempt]] = TokenLoop("tokens", clock, self)
         self._cancels = ThreadPoolExecutor(_CANCEL_THREADS, thread_name_prefix="cancel")
@@ -66,6 +88,18 @@
         self._loop.stop()
         self._cancels.shutdown(wait=False, cancel_futures=True)
 
+    def began(self, session: Session, attempt: Attempt) -> None:
+        """Count an attempt that begins."""
+        req = session.stream.req
+        backend = attempt.choice.backend.id
+        load_permille = int(self._routing.load(backend) * PERMILLE)
+        attempt.attempted = Attempted(
+            req.model, attempt.choice.version, req.adapter, route_of(req), load_permille
+        )
+        self._watch.began(attempt.attempted)
+        self._routing.started(backend, attempt.isolated)
+        metrics.ATTEMPTS.labels("started").inc()
+
     def watch(self, session: Session, attempt: Attempt) -> None:
         """Take an attempt's items from now on."""
         assert attempt.source is not None
@@ -105,6 +139,9 @@
         dropped = stream.dropped
         if stream.accept(attempt.number, items):
             self._submit(session)
+            ended = stream.state is StreamState.FINISHED
+            tokens = len(stream.tokens) - attempt.first_index
+            self._guard.progressed(stream.req, tokens, ended)
         if stream.state is StreamState.FINISHED:
             self.end(session, attempt, ok=True)
         elif stream.dropped != dropped:
@@ -123,14 +160,23 @@
         if attempt.has_token:
             if gap_ms >= self._long_gap_ms:
                 self._suspicion.on_gap(backend, gap_ms, now_ms)
+            self._sample_gap(attempt, gap_ms)
             return
         attempt.has_token = True
+        attempt.first_token_ms = now_ms - attempt.began_ms
+        if attempt.attempted is not None:
+            self._watch.first_token(attempt.attempted, attempt.first_token_ms)
         self._suspicion.on_first_token(backend, now_ms - attempt.began_ms, now_ms)
         if attempt.isolated:
             self._routing.finished(backend, True, True)
             attempt.isolated = False
             self._routing.started(backend)
 
+    def _sample_gap(self, attempt: Attempt, gap_ms: int) -> None:
+        attempt.batches += 1
+        if attempt.batches % GAP_SAMPLE_EVERY == 0 and attempt.attempted is not None:
+            self._watch.gap(attempt.attempted, gap_ms)
+
     def _submit(self, session: Session) -> None:
         """Have the holders take the new tokens, and the version that made the first one."""
         stream = session.stream
@@ -182,35 +228,61 @@
             self.end(session, attempt, ok=True)
             return
         now_ms = self._clock.elapsed_ms()
-        isolated = attempt.isolated
-        self.end(session, attempt, ok=False)
+        self.end(session, attempt, ok=False, lost=loss.kind)
         session.stream.lose(attempt.number, loss.kind, now_ms)
         if session.lost_at_ms is None:
             session.lost_at_ms = session.last_output_ms if session.stream.tokens else now_ms
         metrics.LOSSES.labels(loss.kind.value).inc()
         if loss.kind in (LossKind.SILENT, LossKind.ERROR):
             self.cancel(session, attempt)
-        self._report(session, loss, isolated)
+        self._report(session, attempt, loss)
         session.wake()
 
-    def _report(self, session: Session, loss: BackendLost, isolated: bool) -> None:
+    def _report(self, session: Session, attempt: Attempt, loss: BackendLost) -> None:
         if loss.kind in (LossKind.BUSY, LossKind.NOT_LOADED):
             return
         self._routing.lost(loss.backend, loss.kind)
         self._registry.send(Event.BACKEND_LOST, backend=loss.backend, kind=loss.kind)
-        if self._losses is not None and loss.kind not in UNHARMED:
-            self._losses(session.stream.req, loss, isolated)
+        session.unreported = Loss(loss, len(session.stream.tokens) - attempt.first_index)
+
+    def report_loss(self, session: Session) -> None:
+        """Report the last loss, on the reader's thread, since the state replicas are asked.
+
+        Raises
+        ------
+        Refusal
+            If the request is named as the cause.
+        """
+        with session.lock:
+            unreported, session.unreported = session.unreported, None
+        if unreported is not None:
+            self._guard.stream_lost(session.stream.req, unreported.loss, unreported.tokens)
 
-    def end(self, session: Session, attempt: Attempt, ok: bool) -> None:
+    def end(
+        self, session: Session, attempt: Attempt, ok: bool, lost: LossKind | None = None
+    ) -> None:
         """End an attempt; the caller holds the session's lock."""
         session.attempt = None
         if attempt.key is not None:
             self._loop.remove(attempt.descriptor, attempt.key)
         self._routing.finished(attempt.choice.backend.id, ok, attempt.isolated)
         metrics.ATTEMPTS.labels("finished" if ok else "lost").inc()
+        self._count_end(session, attempt, lost)
         if attempt.source is not None:
             attempt.source.close()
 
+    def _count_end(self, session: Session, attempt: Attempt, lost: LossKind | None) -> None:
+        attempted = attempt.attempted
+        if attempted is None:
+            return
+        req = session.stream.req
+        if lost is not None:
+            self._watch.lost(attempted, req, lost, attempt.first_token_ms)
+        elif session.stream.state is StreamState.FINISHED:
+            self._watch.finished(attempted, req, attempt.first_token_ms)
+        else:
+            self._watch.abandoned(attempted)
+
     def cancel(self, session: Session, attempt: Attempt) -> None:
         """Tell the backend server, on another thread, that an attempt is not wanted."""
         self._cancels.submit(
--- a/packages/kernel/src/nutmegdrum/session.py
+++ b/packages/kernel/src/nutmegdrum/session.py
@@ -19,9 +19,10 @@
     epoch_at,
 )
 from nutmegdrum.journal_writer import JournalledStream
-from nutmegdrum.messages import Finish, FinishReason, Token
+from nutmegdrum.messages import BackendLost, Finish, FinishReason, Token
 from nutmegdrum.routing_query import Choice
 from nutmegdrum.streams import Stream
+from nutmegdrum.version_watch import Attempted
 
 Batch = list[Token | Finish]
 
@@ -39,6 +40,17 @@
         self.key: tuple[Session, Attempt] | None = None
         self.descriptor = -1
         self.has_token = False
+        self.first_index = 0
+        self.first_token_ms: int | None = None
+        self.batches = 0
+        self.attempted: Attempted | None = None
+
+
+class Loss(NamedTuple):
+    """Loss of an attempt after it had yielded `tokens` tokens."""
+
+    loss: BackendLost
+    tokens: int
 
 
 class Session:
@@ -85,6 +97,7 @@
         self.done = stream.finish is not None
         self.failure: Refusal | None = None
         self.attempt: Attempt | None = None
+        self.unreported: Loss | None = None
         self.readers = 0
         self.lost_at_ms: ElapsedMs | None = None
         self.idle_since = self.last_output_ms = self.confirmed_ms = clock.elapsed_ms()
--- a/packages/kernel/src/nutmegdrum/starts.py
+++ b/packages/kernel/src/nutmegdrum/starts.py
@@ -61,6 +61,7 @@
         stream = session.stream
         recovers = bool(stream.losses or stream.tokens)
         if recovers:
+            self._attempts.report_loss(session)
             self._await_turn(session)
         isolated, choice = self._choose(session, recovers)
         with session.lock:
@@ -68,9 +69,9 @@
                 return
             call = stream.begin(choice.backend.id, choice.version)
             attempt = Attempt(choice, call.attempt, isolated, self._clock.elapsed_ms())
+            attempt.first_index = len(call.prefix)
             session.attempt = attempt
-            self._routing.started(choice.backend.id, isolated)
-        metrics.ATTEMPTS.labels("started").inc()
+            self._attempts.began(session, attempt)
         if recovers:
             metrics.RECOVERY_PREFILL_TOKENS.inc(len(call.prefix))
             metrics.RECOVERY_PREFILL_CHARS.inc(len(call.prompt))
--- a/packages/kernel/src/nutmegdrum/streaming.py
+++ b/packages/kernel/src/nutmegdrum/streaming.py
@@ -6,7 +6,7 @@
 from nutmegdrum_coord.clock import Clock
 
 from nutmegdrum.admission import Admission
-from nutmegdrum.attempts import Attempts, Losses
+from nutmegdrum.attempts import Attempts, StreamGuard
 from nutmegdrum.backends import BackendProtocol
 from nutmegdrum.generations import Generations
 from nutmegdrum.holders import HolderChoice
@@ -24,6 +24,7 @@
 from nutmegdrum.suspicion import Suspicion
 from nutmegdrum.ticker import Ticker
 from nutmegdrum.turns import RecoveryTurns
+from nutmegdrum.version_watch import VersionWatch
 
 REAP_PERIOD_MS = 500
 
@@ -35,8 +36,10 @@
     ----------
     rng : Random
         Source of ids that cannot be guessed, and of epochs.
-    losses : callable or None
+    guard : StreamGuard
         Told of lost attempts, to find requests that crash backend servers.
+    watch : VersionWatch
+        Told of all attempts, to judge versions.
     """
 
     def __init__(
@@ -49,7 +52,8 @@
         routing: Routing,
         registry: Registry,
         admission: Admission,
-        losses: Losses | None = None,
+        guard: StreamGuard,
+        watch: VersionWatch,
     ):
         streams = cfg.streams
         vm = cfg.vm.id
@@ -59,7 +63,7 @@
         self.suspicion = Suspicion(streams)
         self._sender = JournalSender(vm, streams, rpc, peers, choice)
         self._attempts = Attempts(
-            streams, clock, protocol, routing, registry, self._sender, self.suspicion, losses
+            streams, clock, protocol, routing, registry, self._sender, self.suspicion, guard, watch
         )
         starts = Starts(streams, clock, protocol, routing, turns, self._attempts, time.sleep)
         self.relay = Relay(clock, self._sender, self._attempts, starts)
