--- a/packages/testing/src/nutmegdrum_testing/bench/__main__.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/__main__.py
@@ -21,6 +21,8 @@
     "claims": "non-idempotent calls a second",
     "goodput": "whole answers under 0.5x to 4x load",
     "notes": "release note from submission to in force",
+    "leader_cost": "processor time and bytes of views and decisions against sizes",
+    "state_cost": "memory, bytes and processor time of claims and release notes",
     "control_cost": "bytes and processor time of control against sizes",
     "rollout_table": "good and bad versions in model time",
 }
--- a/packages/testing/src/nutmegdrum_testing/bench/notes.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/notes.py
@@ -1,13 +1,13 @@
 """Release note from submission to acceptance, and to force on every entry VM."""
 
 import datetime
-import re
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import NamedTuple
 
 import msgspec
-from nutmegdrum.operators import OperatorsClient
+from nutmegdrum.errors import UserError
+from nutmegdrum.operators import OperatorsClient, SubmitAnswer
 from nutmegdrum.releases import NoteAccepted
 from nutmegdrum.settings import load_settings
 
@@ -20,7 +20,7 @@
 CUT_TIMEOUT_S = 30.0
 COMPLETE_IN = datetime.timedelta(hours=1)
 
-_IN_FORCE = re.compile(r"^nutmegdrum_note_in_force (\S+)$", re.MULTILINE)
+_IN_FORCE = "nutmegdrum_note_in_force"
 _MS_PER_S = 1_000
 
 
@@ -29,17 +29,27 @@
     in_force_ms: float
 
 
+_CUTS: dict[str, Callable[[Deployment], list[Daemon]]] = {
+    "all connected": lambda deployment: [],
+    "an entry VM cut off": lambda deployment: deployment.entries[-1:],
+    "a follower cut off": lambda deployment: [_follower(deployment)],
+    "the leader cut off": lambda deployment: [deployment.leader()],
+}
+
+
+def _follower(deployment: Deployment) -> Daemon:
+    leader = deployment.leader()
+    return next(daemon for daemon in deployment.states if daemon is not leader)
+
+
 def measure(sizes: Sizes) -> Iterator[Figure]:
     """Yield the times with all VMs connected, and with an entry VM or a state replica cut off."""
     options = Options(entries=ENTRIES, states=STATES, peer_links=True)
     notes = sizes.pick(30, 5)
     with Deployment(options) as deployment:
         number = 0
-        for name, cut in (
-            ("all connected", []),
-            ("an entry VM cut off", deployment.entries[-1:]),
-            ("a state replica cut off", deployment.states[-1:]),
-        ):
+        for name, choose in _CUTS.items():
+            cut = choose(deployment)
             _cut(deployment, cut)
             reachable = [entry for entry in deployment.entries if entry not in cut]
             times = [_submit(reachable, number + i + 1) for i in range(notes)]
@@ -70,7 +80,7 @@
     client = OperatorsClient(load_settings(entries[0].settings_file))
     note = msgspec.json.encode({"number": number, "added": [_adapter(number)]})
     began = time.monotonic()
-    answer = client.submit(f"bench-{number}", "bench", note)
+    answer = _until_accepted(client, number, note)
     accepted = time.monotonic()
     if not isinstance(answer, NoteAccepted):
         raise RuntimeError(f"note {number}: {answer}")
@@ -79,6 +89,16 @@
     return _Times((accepted - began) * _MS_PER_S, (ended - began) * _MS_PER_S)
 
 
+def _until_accepted(client: OperatorsClient, number: int, note: bytes) -> SubmitAnswer:
+    deadline = time.monotonic() + CUT_TIMEOUT_S
+    while True:
+        try:
+            return client.submit(f"bench-{number}", "bench", note)
+        except UserError:
+            if time.monotonic() > deadline:
+                raise
+
+
 def _adapter(number: int) -> dict[str, str]:
     complete_by = datetime.datetime.now(datetime.UTC) + COMPLETE_IN
     when = complete_by.isoformat(timespec="seconds")
@@ -91,8 +111,7 @@
 
 
 def _in_force(entry: Daemon) -> float:
-    match = _IN_FORCE.search(entry.metrics())
-    return float(match[1]) if match else 0.0
+    return entry.metric(_IN_FORCE) or 0.0
 
 
 def _cut(deployment: Deployment, cut: Sequence[Daemon]) -> None:
--- a/packages/testing/src/nutmegdrum_testing/deployment.py
+++ b/packages/testing/src/nutmegdrum_testing/deployment.py
@@ -19,6 +19,7 @@
 READY_TIMEOUT_S = 30.0
 _TAIL_CHARS = 2_000
 _ANY = ""
+_LEADS = "nutmegdrum_log_leads"
 MODEL_SERVICE = "llm"
 PLAIN_SERVICE = "booking"
 MODEL = "m"
@@ -46,6 +47,8 @@
         is reached by one.
     workspace_limits : dict
         Limits of each workspace, in the words of the settings.
+    listed_engines, listed_models : int
+        Further backend servers, which share the engines' addresses, and further models.
     settings : dict
         Settings that replace or extend the generated ones, section by section.
     """
@@ -63,6 +66,8 @@
     plain_options: tuple[str, ...] = ()
     plugins: tuple[str, ...] = ("http_engine", "sequential_judge")
     settings: dict[str, Any] = {}
+    listed_engines: int = 0
+    listed_models: int = 0
     peer_links: bool = False
     engine_links: bool = False
     platform: bool = False
@@ -145,9 +150,13 @@
         url = f"http://{self.address('ops')}{path}"
         return urllib3.request("GET", url, timeout=2.0, retries=False)
 
-    def metrics(self) -> str:
-        """Return the metrics as text."""
-        return self.ops("/metrics").data.decode()
+    def metric(self, name: str) -> float | None:
+        """Return the metric without labels called `name`, or None if there is none."""
+        for line in self.ops("/metrics").data.decode().splitlines():
+            found, _, value = line.rpartition(" ")
+            if found == name:
+                return float(value)
+        return None
 
 
 class Deployment:
@@ -202,6 +211,16 @@
         """Return the fake plain services."""
         return self.backends[self.options.engines :]
 
+    def leader(self) -> Daemon:
+        """Return the state replica that leads, as soon as one does."""
+        return wait_for(self._find_leader, READY_TIMEOUT_S)
+
+    def _find_leader(self) -> Daemon | None:
+        for daemon in self.states:
+            if daemon.running.exit_code is None and daemon.metric(_LEADS) == 1:
+                return daemon
+        return None
+
     def caller(self, workspace: str = "w1") -> Caller:
         """Return a caller of the workspace."""
         addresses = [daemon.address("callers") for daemon in self.entries]
@@ -328,7 +347,7 @@
                     "methods": {"GET": "idempotent", "POST": "non-idempotent"},
                 }
             ],
-            "backend_servers": [self._backend(i) for i in range(len(self.backends))],
+            "backend_servers": self._backend_servers(),
             "plugins": options.plugins,
         }
         if "state" in kinds[vm]:
@@ -349,6 +368,14 @@
             found["operators"] = listen["operators"]
         return found
 
+    def _backend_servers(self) -> list[dict[str, Any]]:
+        servers = [self._backend(i) for i in range(len(self.backends))]
+        listed = [
+            self._backend(i % self.options.engines) | {"id": f"listed-{i}"}
+            for i in range(self.options.listed_engines)
+        ]
+        return servers + listed
+
     def _backend(self, index: int) -> dict[str, Any]:
         backend = self.backends[index]
         address = backend.address
