--- a/packages/kernel/tests/test_move_processes.py
+++ b/packages/kernel/tests/test_move_processes.py
@@ -1,6 +1,5 @@
 import datetime
 import json
-import re
 import subprocess
 import sys
 from pathlib import Path
@@ -63,7 +62,7 @@
 
 
 def view_fresh(daemon):
-    return re.search(r"^nutmegdrum_view_fresh (\S+)", daemon.metrics(), re.M)[1] == "1.0"
+    return daemon.metric("nutmegdrum_view_fresh") == 1
 
 
 def set_faults(deployment, *faults):
