--- a/packages/kernel/src/nutmegdrum/admission.py
+++ b/packages/kernel/src/nutmegdrum/admission.py
@@ -1,33 +1,24 @@
-"""Admission of requests to one entry VM: limits per workspace, and a bound on all."""
+"""Admission of requests to one entry VM: limits, places and a fair queue for them."""
 
 import threading
-from typing import NamedTuple
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, Protocol
 
+from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import WorkspaceId
-from nutmegdrum_coord.verdict import LIMIT_REACHED, OVERLOADED, Refusal, Verdict
+from nutmegdrum_coord.verdict import OVERLOADED, Refusal, Verdict
 
-from nutmegdrum.messages import Priority
+from nutmegdrum.fairqueue import AdmissionRequest, FairQueue
+from nutmegdrum.limits import equal_share_ppm, limits_of
+from nutmegdrum.plugins import Kind, Registry
 from nutmegdrum.settings import Settings
+from nutmegdrum.view import WorkspaceUse
 
 RETRY_AFTER_MS = 1_000
-
-
-class AdmissionRequest(NamedTuple):
-    """What admission needs to know of a request.
-
-    Attributes
-    ----------
-    tokens : int
-        Tokens that it may cost: of its prompt, and at most of its answer.
-    deadline_ms : int or None
-        Time within which the whole answer is wanted, in ms from arrival.
-    """
-
-    workspace: WorkspaceId
-    tokens: int = 0
-    priority: Priority = Priority.NORMAL
-    deadline_ms: int | None = None
-    stream: bool = True
+POLL_MS = 50
+DEFAULT_TOKEN_MS = 15.0
+TOKEN_MS_WEIGHT = 0.05
+_MS_PER_S = 1_000
 
 
 class Ticket(NamedTuple):
@@ -38,49 +29,219 @@
     admitted_ms: int
 
 
-class Admission:
-    """Places of one entry VM.
+class AdmissionControl:
+    """State machine of one entry VM's places.
 
     Parameters
     ----------
     cfg : Settings
         Workspaces' limits, and the streams that this VM holds at most.
+    queue : FairQueue
+        Order of those that wait.
+    free_slots : callable
+        Estimate of the free slots at backend servers, from reports that lag.
     """
 
-    def __init__(self, cfg: Settings):
+    def __init__(
+        self, cfg: Settings, queue: FairQueue, free_slots: Callable[[], int], now_ms: int = 0
+    ):
         self._max_streams = cfg.callers.max_streams
-        self._limits = {workspace.id: workspace for workspace in cfg.workspaces}
+        self._queue = queue
+        self._free_slots = free_slots
+        share_ppm = equal_share_ppm(len(cfg.entry_vms))
+        self._limits = limits_of(cfg.workspaces, share_ppm, now_ms)
         self._held: dict[int, Ticket] = {}
+        self._streams = 0
+        self._waiting: dict[int, AdmissionRequest] = {}
+        self._use: dict[WorkspaceId, list[int]] = {}
         self._number = 0
-        self._lock = threading.Lock()
+        self._token_ms = DEFAULT_TOKEN_MS
 
-    def admit(self, req: AdmissionRequest, now_ms: int) -> Ticket:
-        """Return a place for the request.
+    def set_shares(self, shares: Mapping[WorkspaceId, int]) -> None:
+        """Take the parts of the workspaces' limits that this VM may use, in ppm."""
+        for workspace, share_ppm in shares.items():
+            if workspace in self._limits:
+                self._limits[workspace].share_ppm = share_ppm
+
+    def request(self, req: AdmissionRequest, now_ms: int) -> Ticket | int:
+        """Return a place, or the number under which the request waits for one.
 
         Raises
         ------
         Refusal
-            `LIMIT_REACHED` or `OVERLOADED`, not run, with the time to come back.
+            `LIMIT_REACHED`, `OVERLOADED` or `DEADLINE_UNREACHABLE`, not run, with the time to
+            come back.
         """
-        with self._lock:
-            self._check(req)
-            self._number += 1
-            ticket = Ticket(self._number, req, now_ms)
-            self._held[ticket.number] = ticket
-            return ticket
-
-    def release(self, ticket: Ticket) -> None:
+        use = self._use.setdefault(req.workspace, [0, 0])
+        use[0] += 1
+        use[1] += req.tokens
+        limits = self._limits.get(req.workspace)
+        if limits is not None and not req.resumed:
+            limits.check(req.stream, now_ms)
+        if req.stream and self._streams >= self._max_streams:
+            raise Refusal(OVERLOADED, Verdict.NOT_RUN, RETRY_AFTER_MS)
+        if not req.stream or req.resumed or self._may_start():
+            self._queue.on_direct_grant(req, now_ms)
+            return self._grant(req, now_ms)
+        service_ms = int((req.answer_tokens or req.tokens) * self._token_ms)
+        number, dropped = self._queue.enter(req, service_ms, now_ms)
+        self._waiting[number] = req
+        for other in dropped:
+            self._waiting.pop(other, None)
+        return number
+
+    def waits(self, number: int) -> bool:
+        """Return whether a request still waits; if not, it was granted a place or dropped."""
+        return number in self._waiting
+
+    def leave(self, number: int) -> None:
+        """Take a waiting request out."""
+        self._queue.leave(number)
+        self._waiting.pop(number, None)
+
+    def grant(self, now_ms: int) -> dict[int, Ticket]:
+        """Return the places of those whose turn has come, by their waiting numbers."""
+        for number in self._queue.expired(now_ms):
+            self._waiting.pop(number, None)
+        granted: dict[int, Ticket] = {}
+        while (req := self._queue.first()) is not None and self._has_place(len(granted)):
+            number = self._queue.pop(now_ms)
+            del self._waiting[number]
+            granted[number] = self._grant(req, now_ms)
+        return granted
+
+    def refusal(self, now_ms: int) -> Refusal:
+        """Return the refusal of a request that was dropped."""
+        return self._queue.refusal(now_ms)
+
+    def release(self, ticket: Ticket, now_ms: int, used_tokens: int | None = None) -> None:
         """Give a place back; a second time has no effect."""
-        with self._lock:
-            self._held.pop(ticket.number, None)
-
-    def _check(self, req: AdmissionRequest) -> None:
-        if not req.stream:
+        if self._held.pop(ticket.number, None) is None:
             return
-        streams = [t.request for t in self._held.values() if t.request.stream]
-        if len(streams) >= self._max_streams:
-            raise Refusal(OVERLOADED, Verdict.NOT_RUN, RETRY_AFTER_MS)
-        own = sum(held.workspace == req.workspace for held in streams)
+        req = ticket.request
+        limits = self._limits.get(req.workspace)
+        if req.stream:
+            self._streams -= 1
+        if limits is None:
+            return
+        limits.streams -= req.stream
+        if used_tokens is not None:
+            limits.give_back(max(0, req.tokens - used_tokens))
+            answered = used_tokens - req.tokens + (req.answer_tokens or req.tokens)
+            self._observe(now_ms - ticket.admitted_ms, answered)
+
+    def take_use(self) -> list[WorkspaceUse]:
+        """Return what the workspaces asked for since the last call."""
+        use, self._use = self._use, {}
+        return [
+            WorkspaceUse(
+                workspace=workspace,
+                requests=requests,
+                tokens=tokens,
+                streams=self._limits[workspace].streams if workspace in self._limits else 0,
+            )
+            for workspace, (requests, tokens) in use.items()
+        ]
+
+    def _may_start(self) -> bool:
+        return len(self._queue) == 0 and self._has_place(0)
+
+    def _has_place(self, taken: int) -> bool:
+        return self._streams < self._max_streams and self._free_slots() - taken > 0
+
+    def _grant(self, req: AdmissionRequest, now_ms: int) -> Ticket:
+        self._number += 1
+        ticket = Ticket(self._number, req, now_ms)
+        self._held[ticket.number] = ticket
+        self._streams += req.stream
         limits = self._limits.get(req.workspace)
-        if limits is not None and own >= limits.max_streams:
-            raise Refusal(LIMIT_REACHED, Verdict.NOT_RUN, RETRY_AFTER_MS)
+        if limits is not None:
+            limits.streams += req.stream
+            if not req.resumed:
+                limits.spend(req.tokens)
+        return ticket
+
+    def _observe(self, took_ms: int, tokens: int) -> None:
+        if tokens > 0:
+            self._token_ms += TOKEN_MS_WEIGHT * (took_ms / tokens - self._token_ms)
+
+
+class QueueFactory(Protocol):
+    """Maker of the queue, which a plug-in can replace."""
+
+    def __call__(self, weights: Mapping[WorkspaceId, int]) -> FairQueue:
+        """Return an empty queue for workspaces of these weights."""
+        ...
+
+
+def new_control(
+    cfg: Settings, registry: Registry, free_slots: Callable[[], int], now_ms: int
+) -> AdmissionControl:
+    """Return the admission control with the queue of the first plug-in that provides one."""
+    provided = registry.all(Kind.ADMISSION)
+    factory: QueueFactory = next(iter(provided.values()), FairQueue)
+    queue = factory({workspace.id: workspace.weight for workspace in cfg.workspaces})
+    return AdmissionControl(cfg, queue, free_slots, now_ms)
+
+
+class Admission:
+    """Thread-safe admission, in which a request's thread waits for its place.
+
+    Parameters
+    ----------
+    control : AdmissionControl
+        The decisions.
+    """
+
+    def __init__(self, control: AdmissionControl, clock: Clock):
+        self._control = control
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._granted: dict[int, Ticket] = {}
+
+    def admit(self, req: AdmissionRequest, now_ms: int) -> Ticket:
+        """Return a place for the request, after a short wait if need be.
+
+        Raises
+        ------
+        Refusal
+            `LIMIT_REACHED`, `OVERLOADED` or `DEADLINE_UNREACHABLE`, not run, with the time to
+            come back.
+        """
+        with self._changed:
+            place = self._control.request(req, now_ms)
+            if isinstance(place, Ticket):
+                return place
+            return self._wait(place)
+
+    def release(self, ticket: Ticket, used_tokens: int | None = None) -> None:
+        """Give a place back; a second time has no effect."""
+        with self._changed:
+            self._control.release(ticket, self._clock.elapsed_ms(), used_tokens)
+            self._grant()
+
+    def set_shares(self, shares: Mapping[WorkspaceId, int]) -> None:
+        """Take the parts of the workspaces' limits that this VM may use, in ppm."""
+        with self._changed:
+            self._control.set_shares(shares)
+
+    def take_use(self) -> list[WorkspaceUse]:
+        """Return what the workspaces asked for since the last call."""
+        with self._changed:
+            return self._control.take_use()
+
+    def _wait(self, number: int) -> Ticket:
+        while number not in self._granted:
+            self._grant()
+            if number in self._granted:
+                break
+            if not self._control.waits(number):
+                raise self._control.refusal(self._clock.elapsed_ms())
+            self._changed.wait(POLL_MS / _MS_PER_S)
+        return self._granted.pop(number)
+
+    def _grant(self) -> None:
+        granted = self._control.grant(self._clock.elapsed_ms())
+        if granted:
+            self._granted.update(granted)
+            self._changed.notify_all()
--- a/packages/kernel/src/nutmegdrum/backend_state.py
+++ b/packages/kernel/src/nutmegdrum/backend_state.py
@@ -33,6 +33,12 @@
         others = max(0, reported - self._in_flight_at_report)
         return (others + self.in_flight) / max(1, self._report.slots)
 
+    def free_slots(self) -> int:
+        """Return the free slots of the last report; negative if requests are queued."""
+        if self._report is None:
+            return DEFAULT_SLOTS
+        return self._report.slots - self._report.running - self._report.queued
+
     def on_report(self, report: LoadReport) -> None:
         """Take a load report, unless it is an old one that came late.
 
--- a/packages/kernel/src/nutmegdrum/claimed_calls.py
+++ b/packages/kernel/src/nutmegdrum/claimed_calls.py
@@ -182,6 +182,10 @@
                     raise _lost(exc) from exc
                 excluded |= {exc.backend}
                 continue
+            except Exception:
+                sent = claim.state is CallState.SENT
+                self._end(claim.finish(None) if sent else claim.give_up())
+                raise
             self._end(claim.finish(_outcome(reply)))
             self._guard.ended(fingerprint, cleared=True)
             return reply
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -8,7 +8,7 @@
 from nutmegdrum_coord.parts import Command, decode_answer, encode_command
 from nutmegdrum_coord.quarantine import QuarantineAnswer
 
-from nutmegdrum.admission import Admission
+from nutmegdrum.admission import Admission, new_control
 from nutmegdrum.cache_poller import POLL_MS as CACHE_POLL_MS
 from nutmegdrum.cache_poller import CachePoller
 from nutmegdrum.claimed_calls import ClaimWriter
@@ -60,7 +60,8 @@
         protocol = registry.get(Kind.BACKEND_PROTOCOL, BACKEND_PROTOCOL)
         self.watch = VersionWatch(clock)
         self.router = Router(cfg, clock, rng, registry, self.watch.allows)
-        self.admission = Admission(cfg)
+        control = new_control(cfg, registry, self.router.free_slots, clock.elapsed_ms())
+        self.admission = Admission(control, clock)
         self.state = StateClient(rpc, cfg.state_replicas)
         self.guard = CrashGuard(cfg.vm.id, clock, self._propose_suspicion)
         routing = GuardedRouting(self.router, self.guard)
@@ -82,7 +83,15 @@
         self.plain = PlainPath(cfg, clock, routing, self.guard, claims)
         peers = PeerViews(cfg, rpc, rng, cfg.entry_vms)
         self.heartbeater = Heartbeater(
-            cfg, clock, self.state, self.router, self.guard, self.watch, peers, incarnation
+            cfg,
+            clock,
+            self.state,
+            self.router,
+            self.admission,
+            self.guard,
+            self.watch,
+            peers,
+            incarnation,
         )
         self.gossip = self.heartbeater.gossip
         self._ticker = Ticker("heartbeat", cfg.control.heartbeat, self.heartbeater.beat)
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/fairqueue.py
@@ -0,0 +1,197 @@
+"""Weighted fair queue of requests that wait for a place."""
+
+from collections import deque
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from nutmegdrum_coord.ids import WorkspaceId
+from nutmegdrum_coord.verdict import DEADLINE_UNREACHABLE, OVERLOADED, Reason, Refusal, Verdict
+
+from nutmegdrum.messages import Priority
+
+DEFAULT_MAX_QUEUED = 12
+DEFAULT_MAX_WAIT_MS = 2_000
+REQUEST_COST_TOKENS = 100
+RATE_WINDOW_MS = 5_000
+MIN_RETRY_MS = 250
+_MS_PER_S = 1_000
+_URGENCY = {Priority.URGENT: 0, Priority.NORMAL: 1, Priority.BATCH: 2}
+
+
+class AdmissionRequest(NamedTuple):
+    """What admission needs to know of a request.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens that it may cost: of its prompt, and at most of its answer.
+    deadline_ms : int or None
+        Time within which the whole answer is wanted, in ms from arrival.
+    answer_tokens : int
+        Part of `tokens` that the answer may have.
+    stream : bool
+        Whether it holds a place at a backend server until its end.
+    resumed : bool
+        Whether it goes on with a generation that was admitted before.
+    """
+
+    workspace: WorkspaceId
+    tokens: int = 0
+    priority: Priority = Priority.NORMAL
+    deadline_ms: int | None = None
+    answer_tokens: int = 0
+    stream: bool = True
+    resumed: bool = False
+
+
+class Waiting(NamedTuple):
+    """Request in the queue; the order of waiting requests is that of these tuples' first items.
+
+    Attributes
+    ----------
+    urgency : int
+        Rank of the priority; lower goes first.
+    start_tag : float
+        Virtual time at which the workspace's earlier requests have had their share.
+    until_ms : int
+        Elapsed time until which the request may wait, in ms.
+    """
+
+    urgency: int
+    start_tag: float
+    number: int
+    request: AdmissionRequest
+    until_ms: int
+
+
+class FairQueue:
+    """Start-time fair queueing within each priority; more urgent ones go first.
+
+    A request's cost is its tokens and a constant part. A request that would wait too long is
+    refused as it arrives, so that none is given up on after a long wait. A full queue drops its
+    last request for a more urgent one.
+
+    Parameters
+    ----------
+    weights : mapping
+        Weight of each workspace; 1 by default.
+    max_wait_ms : int
+        Time that a request waits at most, in ms.
+    """
+
+    def __init__(
+        self,
+        weights: Mapping[WorkspaceId, int],
+        max_queued: int = DEFAULT_MAX_QUEUED,
+        max_wait_ms: int = DEFAULT_MAX_WAIT_MS,
+    ):
+        self._weights = weights
+        self._max_queued = max_queued
+        self._max_wait_ms = max_wait_ms
+        self._queue: list[Waiting] = []
+        self._finish_tags: dict[tuple[int, WorkspaceId], float] = {}
+        self._virtual = [0.0] * len(_URGENCY)
+        self._number = 0
+        self._grants: deque[int] = deque()
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def enter(self, req: AdmissionRequest, service_ms: int, now_ms: int) -> tuple[int, list[int]]:
+        """Queue a request; return its number, and those that were dropped for it.
+
+        Parameters
+        ----------
+        service_ms : int
+            Time that the request will take once it runs, in ms.
+
+        Raises
+        ------
+        Refusal
+            `OVERLOADED` or `DEADLINE_UNREACHABLE`, not run, with the time to come back.
+        """
+        waiting = self._place(req, now_ms)
+        ahead = sum(other < waiting for other in self._queue)
+        wait_ms = self._predict_ms(ahead, now_ms)
+        if req.deadline_ms is not None and wait_ms + service_ms > req.deadline_ms:
+            raise self._refusal(DEADLINE_UNREACHABLE, wait_ms)
+        if wait_ms > self._max_wait_ms or ahead >= self._max_queued:
+            raise self._refusal(OVERLOADED, wait_ms)
+        self._queue.append(waiting)
+        self._queue.sort()
+        self._advance(waiting.urgency, waiting.start_tag, req)
+        dropped = self._queue[self._max_queued :]
+        self._remove(dropped)
+        return waiting.number, [other.number for other in dropped]
+
+    def leave(self, number: int) -> None:
+        """Take a request out."""
+        self._remove([waiting for waiting in self._queue if waiting.number == number])
+
+    def expired(self, now_ms: int) -> list[int]:
+        """Take out the requests that have waited too long, and return their numbers."""
+        late = [waiting for waiting in self._queue if waiting.until_ms <= now_ms]
+        self._remove(late)
+        return [waiting.number for waiting in late]
+
+    def first(self) -> AdmissionRequest | None:
+        """Return the request that is next."""
+        return self._queue[0].request if self._queue else None
+
+    def pop(self, now_ms: int) -> int:
+        """Take out the next request and return its number."""
+        waiting = self._queue.pop(0)
+        self._start(waiting.urgency, waiting.start_tag)
+        self._grants.append(now_ms)
+        return waiting.number
+
+    def on_direct_grant(self, req: AdmissionRequest, now_ms: int) -> None:
+        """Count a request that got a place without waiting."""
+        urgency = _URGENCY[req.priority]
+        start_tag = self._start_tag(urgency, req.workspace)
+        self._advance(urgency, start_tag, req)
+        self._start(urgency, start_tag)
+        self._grants.append(now_ms)
+
+    def refusal(self, now_ms: int) -> Refusal:
+        """Return the refusal of a request that was dropped or has waited too long."""
+        return self._refusal(OVERLOADED, self._predict_ms(len(self._queue), now_ms))
+
+    def _place(self, req: AdmissionRequest, now_ms: int) -> Waiting:
+        self._number += 1
+        wait_ms = self._max_wait_ms
+        if req.deadline_ms is not None:
+            wait_ms = min(wait_ms, req.deadline_ms)
+        urgency = _URGENCY[req.priority]
+        start_tag = self._start_tag(urgency, req.workspace)
+        return Waiting(urgency, start_tag, self._number, req, now_ms + wait_ms)
+
+    def _start_tag(self, urgency: int, workspace: WorkspaceId) -> float:
+        return max(self._virtual[urgency], self._finish_tags.get((urgency, workspace), 0.0))
+
+    def _advance(self, urgency: int, start_tag: float, req: AdmissionRequest) -> None:
+        self._finish_tags[urgency, req.workspace] = start_tag + self._cost(req)
+
+    def _start(self, urgency: int, start_tag: float) -> None:
+        self._virtual[urgency] = max(self._virtual[urgency], start_tag)
+
+    def _remove(self, gone: list[Waiting]) -> None:
+        """Take requests out that were not served, and uncharge their workspaces."""
+        for waiting in gone:
+            self._queue.remove(waiting)
+            req = waiting.request
+            self._finish_tags[waiting.urgency, req.workspace] -= self._cost(req)
+
+    def _cost(self, req: AdmissionRequest) -> float:
+        return (req.tokens + REQUEST_COST_TOKENS) / max(1, self._weights.get(req.workspace, 1))
+
+    def _predict_ms(self, ahead: int, now_ms: int) -> int:
+        """Return the time until `ahead` requests and one more have got places."""
+        while self._grants and self._grants[0] <= now_ms - RATE_WINDOW_MS:
+            self._grants.popleft()
+        if not self._grants:
+            return 0 if ahead == 0 else self._max_wait_ms
+        return (ahead + 1) * RATE_WINDOW_MS // len(self._grants)
+
+    def _refusal(self, why: Reason, wait_ms: int) -> Refusal:
+        return Refusal(why, Verdict.NOT_RUN, max(MIN_RETRY_MS, wait_ms))
--- a/packages/kernel/src/nutmegdrum/gateway.py
+++ b/packages/kernel/src/nutmegdrum/gateway.py
@@ -4,10 +4,12 @@
 
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
+from urllib.parse import quote
 
 import msgspec
 from nutmegdrum_coord import verdict as v
 
+from nutmegdrum.admission import AdmissionRequest
 from nutmegdrum.completion_path import CompletionPath, count_refusal
 from nutmegdrum.problems import problem_headers, problem_of
 from nutmegdrum.settings import WorkspaceSettings
@@ -24,6 +26,7 @@
     from nutmegdrum.entry import EntryRole
 
 _COMPLETION_PATHS = {"/v1/completions": False, "/v1/chat/completions": True}
+_PATH_CHARACTERS = "/:@!$&'()*+,;=~"
 _GENERATIONS_PREFIX = "/v1/generations/"
 
 
@@ -70,10 +73,17 @@
         if isinstance(route, v.Reason):
             raise v.Refusal(route, detail=f"no route for {path}")
         query = environ.get("QUERY_STRING", "")
-        target = f"{path}?{query}" if query else path
-        reply = self._entry.plain.handle(
-            workspace.id, route, environ["REQUEST_METHOD"], target, headers, read_body(environ)
-        )
+        quoted = quote(path.encode("latin-1"), safe=_PATH_CHARACTERS)
+        target = f"{quoted}?{query}" if query else quoted
+        body = read_body(environ)
+        demand = AdmissionRequest(workspace.id, stream=False)
+        ticket = self._entry.admission.admit(demand, self._entry.clock.elapsed_ms())
+        try:
+            reply = self._entry.plain.handle(
+                workspace.id, route, environ["REQUEST_METHOD"], target, headers, body
+            )
+        finally:
+            self._entry.admission.release(ticket)
         return Response(reply.status, reply.body, list(reply.headers.items()))
 
 
--- a/packages/kernel/src/nutmegdrum/generations.py
+++ b/packages/kernel/src/nutmegdrum/generations.py
@@ -98,7 +98,8 @@
         Refusal
             If the request is not admitted or cannot be resumed.
         """
-        ticket = self._admission.admit(admission_request(req), self._clock.elapsed_ms())
+        demand = admission_request(req)._replace(resumed=bool(last_event_id))
+        ticket = self._admission.admit(demand, self._clock.elapsed_ms())
         try:
             answer = self._answer(workspace.id, req, last_event_id)
         except BaseException:
@@ -119,11 +120,14 @@
         return self._reading(self._begin(req, generation, epoch, holders), 0)
 
     def _admitted(self, ticket: Ticket, items: Iterator[ReadBatch]) -> Items:
+        used = ticket.request.tokens - ticket.request.answer_tokens
         try:
             with metrics.STREAMS.track_inprogress():
-                yield from items
+                for part in items:
+                    used += len(part.items)
+                    yield part
         finally:
-            self._admission.release(ticket)
+            self._admission.release(ticket, used)
 
     def _reading(self, session: Session, first_index: int) -> Answer:
         items = self._read(session, first_index)
@@ -307,4 +311,5 @@
         tokens=len(req.prompt) // CHARS_PER_TOKEN + req.max_tokens,
         priority=req.priority,
         deadline_ms=req.deadline_ms,
+        answer_tokens=req.max_tokens,
     )
--- a/packages/kernel/src/nutmegdrum/heartbeat.py
+++ b/packages/kernel/src/nutmegdrum/heartbeat.py
@@ -10,6 +10,7 @@
 from nutmegdrum_coord.verdict import Refusal
 
 from nutmegdrum import metrics
+from nutmegdrum.admission import Admission
 from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.fleet import VmState
 from nutmegdrum.freshness import FreshView
@@ -88,6 +89,7 @@
         clock: Clock,
         state: StateClient,
         router: Router,
+        admission: Admission,
         guard: CrashGuard,
         watch: VersionWatch,
         peers: PeerViews,
@@ -97,6 +99,7 @@
         self._clock = clock
         self._state = state
         self._router = router
+        self._admission = admission
         self._guard = guard
         self._watch = watch
         self._peers = peers
@@ -143,9 +146,11 @@
             samples=watched.samples,
             trips=watched.trips,
             running=watched.running,
+            use=self._admission.take_use(),
         )
 
     def _take(self, answer: HeartbeatAnswer, sent_ms: ElapsedMs) -> None:
+        self._admission.set_shares(answer.shares)
         for load in answer.loads:
             self._router.on_load_report(load.id, _report_of(load))
         with self._lock:
--- a/packages/kernel/src/nutmegdrum/leader.py
+++ b/packages/kernel/src/nutmegdrum/leader.py
@@ -11,6 +11,7 @@
 from nutmegdrum.draining import Drains, Instance
 from nutmegdrum.fleet import Fleet, LiveList, VmState
 from nutmegdrum.judging import JudgeFactory
+from nutmegdrum.limit_shares import LimitShares
 from nutmegdrum.loading import SpareCapacity
 from nutmegdrum.messages import LoadReport, OrderKind, OrderStatus
 from nutmegdrum.moves import Move, MoveKind, MoveState
@@ -96,6 +97,7 @@
         self._urgent: list[Command] = []
         self.fleet = Fleet(cfg.backend_servers)
         self.entries = {peer.vm: EntryObserved() for peer in cfg.entry_vms}
+        self._limit_shares = LimitShares()
         self._trials = Trials(self._releases, judges, cfg.moves)
         self._spare = SpareCapacity(cfg.moves.weigh)
         self._drains = Drains(
@@ -131,11 +133,13 @@
             pause = self._trials.on_trip(trip)
             if pause is not None:
                 self._urgent.append(pause)
+        self._limit_shares.take(report.vm, report.use, now_ms)
         view = self.view()
         return HeartbeatAnswer(
             fresh=fresh,
             lease_ms=int(self._cfg.control.freshness_lease),
             view=None if report.generation == view.generation else view,
+            shares=self._limit_shares.shares(report.vm, len(self.entries), now_ms),
         )
 
     def on_load_report(self, now_ms: ElapsedMs, backend: BackendId, report: LoadReport) -> None:
--- a/packages/kernel/src/nutmegdrum/plain_http.py
+++ b/packages/kernel/src/nutmegdrum/plain_http.py
@@ -1,6 +1,7 @@
 """Exchange with a plain service over HTTP."""
 
 from collections.abc import Callable, Mapping
+from http.client import HTTPException
 from typing import NamedTuple, Protocol
 
 from nutmegdrum_coord.clock import Clock
@@ -136,7 +137,7 @@
             body = self._read(conn, response, deadline_ms)
         except (TimeoutError, HttpTimeoutError) as exc:
             raise BackendLost(backend, LossKind.SILENT, True, str(exc)) from exc
-        except (OSError, HTTPError) as exc:
+        except (OSError, HTTPError, HTTPException) as exc:
             raise BackendLost(backend, LossKind.RESET, True, str(exc)) from exc
         return PlainReply(response.status, _reply_headers(response), body)
 
--- a/packages/kernel/src/nutmegdrum/routing.py
+++ b/packages/kernel/src/nutmegdrum/routing.py
@@ -16,6 +16,7 @@
 from nutmegdrum.plugins import Kind, Registry
 from nutmegdrum.routing_query import Choice, RouteQuery
 from nutmegdrum.settings import BackendSettings, Settings
+from nutmegdrum.slots import SlotEstimate
 from nutmegdrum.trial_share import TrialShare
 from nutmegdrum.view import BackendView, ModelView, TrialView, View
 
@@ -63,6 +64,10 @@
         self._models: dict[ModelName, ModelView] = {}
         self._backends: dict[str, list[BackendView]] = {}
         self._granted_ms = 0
+        self._own = 0
+        self._reported = False
+        self._model_backends: frozenset[BackendId] = frozenset()
+        self._slots = SlotEstimate(len(cfg.entry_vms))
         self._set(_initial_models(cfg), _initial_backends(cfg))
 
     def set_view(self, view: View, received_ms: int) -> None:
@@ -72,9 +77,14 @@
             self._granted_ms = received_ms
 
     def renew_grants(self, received_ms: int) -> None:
-        """Extend the grants of the view in force, which a heartbeat's answer confirmed."""
+        """Extend the grants of the view in force, which a heartbeat's answer confirmed.
+
+        Loads come with these answers only where they changed, so that those known stand as well.
+        """
         with self._lock:
             self._granted_ms = max(self._granted_ms, received_ms)
+            if self._reported:
+                self._slots.on_reports(self._reported_free(), self._clock.elapsed_ms())
 
     def set_leaving(self, leaving: frozenset[BackendId]) -> None:
         """Give no new work to `leaving`, in addition to what the view says."""
@@ -104,12 +114,14 @@
         with self._lock:
             state = self._states[backend]
             state.in_flight += 1
+            self._count_own(backend, 1)
             state.isolated += isolated
 
     def finished(self, backend: BackendId, ok: bool, isolated: bool = False) -> None:
         """Count an attempt's end; `ok` says that the backend server answered to the end."""
         with self._lock:
             state = self._states[backend]
+            self._count_own(backend, -1)
             state.on_finished(ok)
             state.isolated = max(0, state.isolated - isolated)
 
@@ -122,6 +134,23 @@
         """Take a backend server's load report."""
         with self._lock:
             self._states[backend].on_report(report)
+            self._reported = True
+            self._slots.on_reports(self._reported_free(), self._clock.elapsed_ms())
+
+    def free_slots(self) -> int:
+        """Return the slots at models' backend servers that this VM may fill now."""
+        with self._lock:
+            return self._slots.free(self._own, self._clock.elapsed_ms())
+
+    def _count_own(self, backend: BackendId, change: int) -> None:
+        if backend in self._model_backends:
+            self._own = max(0, self._own + change)
+            self._slots.on_own(self._own, self._clock.elapsed_ms())
+
+    def _reported_free(self) -> int:
+        now_ms = self._clock.elapsed_ms()
+        states = [self._states[backend] for backend in self._model_backends]
+        return sum(s.free_slots() for s in states if not s.suspected(now_ms))
 
     def on_cache_events(self, backend: BackendId, events: Sequence[CacheEvent]) -> None:
         """Take a backend server's cache events."""
@@ -149,6 +178,10 @@
         for backend in sorted(backends, key=lambda b: _rank(self._vm, b.id)):
             grouped[backend.service].append(backend)
         self._backends = dict(grouped)
+        services = {model.service for model in models}
+        self._model_backends = frozenset(
+            b.id for b in backends if b.service in services and not b.leaving
+        )
         trials = {(m.name, m.trial.version) for m in models if m.trial is not None}
         self._shares = {trial: self._shares.get(trial, TrialShare(self._rng)) for trial in trials}
 
