--- a/packages/kernel/tests/test_plain_processes.py
+++ b/packages/kernel/tests/test_plain_processes.py
@@ -128,6 +128,21 @@
                 assert not bodies
 
 
+class TestLimits:
+    def test_requests_beyond_the_limit_are_refused_at_once_as_not_run(self):
+        limits = {"max_streams": 1, "requests_per_s": 2, "tokens_per_s": 1_000}
+        options = Options(states=1, entries=1, engines=1, plains=1, workspace_limits=limits)
+        with Deployment(options) as deployment:
+            caller = deployment.booking_caller()
+            replies = [caller.book("farm", f"k{n}") for n in range(30)]
+            refused = [reply for reply in replies if reply.problem is not None]
+            assert refused
+            assert {reply.status for reply in refused} == {429}
+            assert {reply.problem.verdict for reply in refused} == {"not-run"}
+            assert all(int(reply.headers["Retry-After"]) > 0 for reply in refused)
+            assert len(deployment.executions()) == len(replies) - len(refused)
+
+
 class TestCrashingRequest:
     def test_costs_two_engines_and_is_refused_at_every_vm(self):
         options = Options(states=3, entries=2, engines=5, engine_options=["--token-ms", "20"])
--- a/packages/testing/src/nutmegdrum_testing/bench/bounds.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/bounds.py
@@ -38,6 +38,9 @@
     "broken-streams": Bound(0, "streams", PROMISES),
     "double-runs": Bound(0, "calls", PROMISES),
     "heartbeat-lateness": Bound(1_500, "ms", "freshness lease less one heartbeat, settings"),
+    "goodput": Bound(0.9, "share", "goodput holds at 2x load and more", True, gated=True),
+    "urgent-in-time": Bound(0.99, "share", "overload sheds the least urgent", True, gated=True),
+    "refusal-wait": Bound(2_200, "ms", "bound of the fair queue's wait", gated=True),
     "bad-taken-back": Bound(1.0, "share", PROMISES, at_least=True, gated=True),
     "good-in-time": Bound(1.0, "share", PROMISES, at_least=True, gated=True),
 }
--- a/packages/testing/src/nutmegdrum_testing/deployment.py
+++ b/packages/testing/src/nutmegdrum_testing/deployment.py
@@ -23,6 +23,9 @@
 MODEL_SERVICE = "llm"
 PLAIN_SERVICE = "booking"
 MODEL = "m"
+PLUGINS = ("http_engine", "sequential_judge", "prefix_affinity", "fair_share")
+HIGH_LIMITS = {"max_streams": 5_000, "tokens_per_s": 10_000_000, "requests_per_s": 100_000}
+"""Limits that no test reaches unless it sets its own."""
 
 
 def key_of(workspace: str) -> str:
@@ -60,11 +63,11 @@
     plains: int = 0
     versions: tuple[str, ...] = ("1",)
     workspaces: tuple[str, ...] = ("w1", "w2")
-    workspace_limits: dict[str, int] = {}
+    workspace_limits: dict[str, int] = msgspec.field(default_factory=HIGH_LIMITS.copy)
     data_centres: tuple[str, ...] = ("dc-a", "dc-b", "dc-c")
     engine_options: tuple[str, ...] = ()
     plain_options: tuple[str, ...] = ()
-    plugins: tuple[str, ...] = ("http_engine", "sequential_judge")
+    plugins: tuple[str, ...] = PLUGINS
     settings: dict[str, Any] = {}
     listed_engines: int = 0
     listed_models: int = 0
--- a/packages/testing/src/nutmegdrum_testing/examples.py
+++ b/packages/testing/src/nutmegdrum_testing/examples.py
@@ -17,7 +17,8 @@
 PLAIN_REPLICAS = 3
 WORKSPACES = 10
 LARGE_WORKSPACES = 3
-PLUGINS = ["http_engine", "sequential_judge"]
+_LARGE_LIMITS = {"max_streams": 256, "tokens_per_s": 100_000, "requests_per_s": 1_000}
+PLUGINS = ["http_engine", "sequential_judge", "prefix_affinity", "fair_share"]
 
 _OPS_PORT = 9100
 _PEERS_PORT = 9200
@@ -140,7 +141,7 @@
 def _workspace(index: int) -> dict[str, Any]:
     name = f"workspace-{index + 1}"
     if index < LARGE_WORKSPACES:
-        return {"id": name, "key_sha256": key_digest(name), "weight": 4, "max_streams": 256}
+        return {"id": name, "key_sha256": key_digest(name), "weight": 4, **_LARGE_LIMITS}
     return {"id": name, "key_sha256": key_digest(name)}
 
 
