Wait for no settled traffic in the bake time

Seen failing first: test_judging. Ruled out: a higher tolerated chance of windows with a death, which would hide versions that crash late.

--- a/packages/kernel/src/nutmegdrum/judging.py
+++ b/packages/kernel/src/nutmegdrum/judging.py
@@ -109,7 +109,7 @@
 
     A window with one version's counts alone waits for the other's, so that both stand for the
     same minutes; after `CARRY_MS` the trial's counts are handed on alone and the settled
-    version's are dropped.
+    version's are dropped. Once the settled version gets no traffic at all, nothing waits for it.
 
     Parameters
     ----------
@@ -125,6 +125,7 @@
         self.judge = judge
         self._waiting: dict[Stream, _Waiting] = {}
         self._closed_ms: ElapsedMs | None = None
+        self._settled_ms: ElapsedMs | None = None
 
     def add(self, now_ms: ElapsedMs, sample: RouteSample) -> None:
         """Add one sample of either version; samples of others are ignored."""
@@ -134,6 +135,8 @@
         waiting = self._waiting.get(stream)
         if waiting is None:
             waiting = self._waiting[stream] = _Waiting(now_ms, Counts(), Counts())
+        if sample.version == self.settled:
+            self._settled_ms = now_ms
         counts = waiting.trial if sample.version == self.trial else waiting.settled
         counts.add(sample)
 
@@ -144,9 +147,10 @@
         if now_ms - self._closed_ms < WINDOW_MS:
             return
         self._closed_ms = now_ms
+        alone = self._settled_ms is not None and now_ms - self._settled_ms >= CARRY_MS
         for stream, waiting in sorted(self._waiting.items()):
             both = waiting.trial.requests > 0 and waiting.settled.requests > 0
-            old = now_ms - waiting.since >= CARRY_MS
+            old = alone or now_ms - waiting.since >= CARRY_MS
             if both or (old and waiting.trial.requests > 0):
                 self.judge.observe(
                     Comparison(
