--- a/packages/kernel/src/nutmegdrum/guarded_routing.py
+++ b/packages/kernel/src/nutmegdrum/guarded_routing.py
@@ -65,6 +65,10 @@
         """Count the end of an attempt that `started` counted."""
         self._router.finished(backend, ok, isolated)
 
+    def load(self, backend: BackendId) -> float:
+        """Return the estimated work of a backend server as a share of its slots."""
+        return self._router.load(backend)
+
     def lost(self, backend: BackendId, kind: LossKind) -> None:
         """Suspect a backend server that stopped serving."""
         self._router.lost(backend, kind)
