--- a/packages/kernel/src/nutmegdrum/cli.py
+++ b/packages/kernel/src/nutmegdrum/cli.py
@@ -4,13 +4,16 @@
 import sys
 import uuid
 from dataclasses import dataclass, field
+from datetime import datetime
 from pathlib import Path
 from typing import Annotated
 
 import cappa
 import msgspec
+from nutmegdrum_coord.clock import WallMs
 
 from nutmegdrum.errors import UserError
+from nutmegdrum.notes import wall_ms
 from nutmegdrum.operators import OperatorsClient
 from nutmegdrum.queries import (
     AuditQuery,
@@ -40,6 +43,18 @@
     print(msgspec.json.encode(answer).decode() if as_json else render(answer))
 
 
+def _time(option: str, text: str | None) -> WallMs | None:
+    if text is None:
+        return None
+    try:
+        moment = datetime.fromisoformat(text)
+    except ValueError:
+        moment = None
+    if moment is None or moment.tzinfo is None:
+        raise UserError(f"{option}: Expected a time such as 2027-01-01T00:00:00Z; got `{text}`")
+    return wall_ms(moment)
+
+
 def _ask(settings: Path, query: Query) -> QueryAnswer:
     return OperatorsClient(load_settings(settings)).query(query)
 
@@ -135,11 +150,26 @@
 
     settings: SettingsArg
     note: Annotated[int | None, cappa.Arg(long="--note", help="Only this note.")] = None
+    since: Annotated[
+        str | None, cappa.Arg(long="--since", help="Only notes accepted from this time on.")
+    ] = None
+    until: Annotated[
+        str | None, cappa.Arg(long="--until", help="Only notes accepted before this time.")
+    ] = None
+    workspace: Annotated[
+        str | None, cappa.Arg(long="--workspace", help="Only this workspace's service.")
+    ] = None
     json: JsonArg = False
 
     def __call__(self) -> None:
         """Print the report."""
-        _print(_ask(self.settings, ReportQuery(note=self.note)), self.json)
+        query = ReportQuery(
+            note=self.note,
+            since_ms=_time("--since", self.since),
+            until_ms=_time("--until", self.until),
+            workspace=self.workspace,
+        )
+        _print(_ask(self.settings, query), self.json)
 
 
 @cappa.command(name="audit", help="Print the audit trail.")
--- a/packages/kernel/tests/test_notes.py
+++ b/packages/kernel/tests/test_notes.py
@@ -1,3 +1,5 @@
+from pathlib import Path
+
 import msgspec
 import pytest
 from nutmegdrum.errors import UserError
@@ -41,3 +43,10 @@
         parsed = parse_note(note(changed=[CHANGE | steps]))
         assert parse_note(encode_note(parsed)) == parsed
         assert parsed.changed[0].share_steps == [5_000, 122_500, 1_000_000]
+
+    def test_the_complete_example_is_valid_and_uses_every_key(self):
+        data = (Path(__file__).parents[3] / "examples" / "note-complete.json").read_bytes()
+        parsed = parse_note(data)
+        for entries in (parsed.added, parsed.changed, parsed.withdrawn, [parsed]):
+            for name in set(type(entries[0]).__struct_fields__) - {"adapter"}:
+                assert any(getattr(entry, name) for entry in entries), name
