Shut down without cutting requests

Not ready at once, serving while the balancer's list lags, then draining; streams that would outlast the stated time end at a whole event and go on at another VM.

--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -21,6 +21,8 @@
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import RpcClient
 from nutmegdrum.settings import Settings
+from nutmegdrum.shutdown import Shutdown
+from nutmegdrum.shutdown_gate import ShutdownGate
 from nutmegdrum.state_client import StateClient
 from nutmegdrum.streaming import Streaming
 from nutmegdrum.ticker import Ticker
@@ -98,9 +100,11 @@
         self._plain_ticker = Ticker("plain", PLAIN_TICK_MS, self.plain.tick)
         poller = CachePoller(protocol, self.router)
         self._cache_ticker = Ticker("cache-events", CACHE_POLL_MS, poller.tick)
+        shutdown = Shutdown(cfg.callers.shutdown_notice, cfg.callers.shutdown_timeout)
+        self._gate = ShutdownGate(Gateway(self), clock, shutdown, self.plain.pending_claims)
         self._listener = HttpListener(
             cfg.listen.callers,
-            Gateway(self),
+            self._gate,
             threads=cfg.callers.max_streams + cfg.callers.spare_threads,
             idle_timeout_ms=cfg.callers.idle_timeout,
             max_body=cfg.callers.max_body,
@@ -134,7 +138,8 @@
         return "" if self.heartbeater.has_view() else "no view of the state yet"
 
     def drain(self) -> None:
-        """Wait until streams have ended, at most as long as the settings say."""
+        """Wait until requests have ended, at most as long as the settings say."""
+        self._gate.drain()
 
     def stop(self) -> None:
         """Close the callers' listener."""
--- a/packages/kernel/src/nutmegdrum/metrics.py
+++ b/packages/kernel/src/nutmegdrum/metrics.py
@@ -41,3 +41,4 @@
     "Time without output after a loss, from the last token before it to the first after it",
     buckets=_LATENCY_BUCKETS_S,
 )
+HANDED_OVER = Counter("nutmegdrum_handed_over", "Streams that a shutdown ended for another VM")
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/shutdown.py
@@ -0,0 +1,59 @@
+"""Phases of a graceful shutdown of one entry VM."""
+
+from enum import Enum
+
+MAX_HAND_OVER_MS = 10_000
+HAND_OVER_PART = 3
+
+
+class Phase(Enum):
+    """How far a shutdown has come."""
+
+    SERVING = "serving"
+    NOTICE = "notice"
+    DRAINING = "draining"
+    HANDING_OVER = "handing-over"
+    DONE = "done"
+
+
+class Shutdown:
+    """State machine of a graceful shutdown.
+
+    The VM is not ready from the beginning, but serves all that comes while the balancer's list
+    lags. Then it refuses new requests and lets the others finish. Streams that would outlast the
+    stated time are ended at a whole event shortly before, so that their callers go on at another
+    VM.
+
+    Parameters
+    ----------
+    notice_ms : int
+        Time for which new requests are still served, in ms.
+    timeout_ms : int
+        Time after which the VM exits whatever still runs, in ms.
+    """
+
+    def __init__(self, notice_ms: int, timeout_ms: int):
+        self._notice_ms = notice_ms
+        self._timeout_ms = timeout_ms
+        self._hand_over_ms = min(MAX_HAND_OVER_MS, timeout_ms // HAND_OVER_PART)
+        self._began_ms: int | None = None
+
+    def begin(self, now_ms: int) -> None:
+        """Begin the shutdown; a second call changes nothing."""
+        if self._began_ms is None:
+            self._began_ms = now_ms
+
+    def phase(self, now_ms: int, open_requests: int) -> Phase:
+        """Return the phase at `now_ms` with so many requests that have not ended."""
+        if self._began_ms is None:
+            return Phase.SERVING
+        elapsed_ms = now_ms - self._began_ms
+        if elapsed_ms >= self._timeout_ms:
+            return Phase.DONE
+        if elapsed_ms < self._notice_ms:
+            return Phase.NOTICE
+        if open_requests == 0:
+            return Phase.DONE
+        if elapsed_ms >= self._timeout_ms - self._hand_over_ms:
+            return Phase.HANDING_OVER
+        return Phase.DRAINING
--- /dev/null
+++ b/packages/kernel/tests/test_shutdown_processes.py
@@ -0,0 +1,71 @@
+import os
+import signal
+
+import pytest
+from nutmegdrum_testing.callers import RunningStream
+from nutmegdrum_testing.deployment import Deployment, Options
+from nutmegdrum_testing.waiting import wait_for
+
+TOKENS = 150
+
+
+def options(timeout):
+    return Options(
+        states=3,
+        entries=2,
+        engines=2,
+        plains=1,
+        engine_options=("--token-ms", "30"),
+        settings={"callers": {"shutdown_notice": "1s", "shutdown_timeout": timeout}},
+    )
+
+
+def terminate(daemon):
+    os.kill(daemon.pid, signal.SIGTERM)
+
+
+def exited(daemon):
+    return daemon.running.exit_code is not None
+
+
+class TestGracefulShutdown:
+    @pytest.fixture
+    def deployment(self):
+        with Deployment(options("30s")) as running:
+            yield running
+
+    def test_streams_finish_and_late_requests_are_served_or_refused_as_not_run(self, deployment):
+        daemon = deployment.daemon("n1")
+        caller = deployment.caller()
+        streams = [RunningStream(caller, "m", f"p{n}", TOKENS, entry=0) for n in range(4)]
+        wait_for(lambda: all(stream.count > 5 for stream in streams))
+        terminate(daemon)
+        wait_for(lambda: daemon.ops("/readyz").status == 503)
+        booked = deployment.booking_caller().book("farm", "late", entry=0)
+        assert booked.status == 201
+        refused = wait_for(lambda: _problem(caller.generate("m", "late", 3, entry=0)))
+        assert (refused.reason, refused.verdict) == ("shutting-down", "not-run")
+        for stream in streams:
+            stream.join().check(TOKENS)
+        wait_for(lambda: exited(daemon))
+        assert daemon.running.exit_code == 0
+
+    def test_streams_that_outlast_the_time_go_on_at_another_vm(self):
+        with Deployment(options("3s")) as deployment:
+            daemon = deployment.daemon("n1")
+            caller = deployment.caller()
+            streams = [
+                RunningStream(caller, "m", f"p{n}", TOKENS, entries=[0, 1]) for n in range(4)
+            ]
+            wait_for(lambda: all(stream.count > 5 for stream in streams))
+            terminate(daemon)
+            wait_for(lambda: exited(daemon))
+            assert daemon.running.exit_code == 0
+            for stream in streams:
+                stream.join().check(TOKENS)
+
+
+def _problem(result):
+    if result.ended == "done":
+        return None
+    return result.problem
