--- a/packages/coord/src/nutmegdrum_coord/claims.py
+++ b/packages/coord/src/nutmegdrum_coord/claims.py
@@ -10,8 +10,8 @@
 from nutmegdrum_coord.ids import IdempotencyKey, IncarnationId, RouteName, VmId, WorkspaceId
 from nutmegdrum_coord.parts import Answer, Command, Context
 
-DEFAULT_RETENTION_MS = 86_400_000
-DEFAULT_MAX_PER_WORKSPACE = 100_000
+DEFAULT_RETENTION_MS = 21_600_000
+DEFAULT_MAX_PER_WORKSPACE = 20_000
 MAX_OUTCOME_BYTES = 16_384
 MAX_RELEASED_TOKENS = 8
 EXPIRED_PER_COMMAND = 64
--- a/packages/kernel/src/nutmegdrum/admission.py
+++ b/packages/kernel/src/nutmegdrum/admission.py
@@ -8,6 +8,7 @@
 from nutmegdrum_coord.ids import WorkspaceId
 from nutmegdrum_coord.verdict import OVERLOADED, Refusal, Verdict
 
+from nutmegdrum import metrics
 from nutmegdrum.fairqueue import AdmissionRequest, FairQueue
 from nutmegdrum.limits import equal_share_ppm, limits_of
 from nutmegdrum.plugins import Kind, Registry
@@ -211,8 +212,11 @@
         with self._changed:
             place = self._control.request(req, now_ms)
             if isinstance(place, Ticket):
+                metrics.ADMISSIONS.labels("at-once").inc()
                 return place
-            return self._wait(place)
+            ticket = self._wait(place)
+            metrics.ADMISSIONS.labels("after-waiting").inc()
+            return ticket
 
     def release(self, ticket: Ticket, used_tokens: int | None = None) -> None:
         """Give a place back; a second time has no effect."""
--- a/packages/kernel/src/nutmegdrum/claimed_calls.py
+++ b/packages/kernel/src/nutmegdrum/claimed_calls.py
@@ -20,6 +20,7 @@
     Verdict,
 )
 
+from nutmegdrum import metrics
 from nutmegdrum.claimbacklog import ClaimBacklog, ClaimEnd
 from nutmegdrum.claimclient import (
     CallState,
@@ -104,7 +105,9 @@
         identity = self._identity(query, call, route)
         claim = ClaimCall(identity, self._cfg.claims.dispatch_deadline, self._cfg.claims.join_wait)
         self._end_earlier(identity.key)
-        if self._own(claim, identity.key) is NextStep.REPLAY:
+        step = self._own(claim, identity.key)
+        metrics.CLAIMS.labels(step.value).inc()
+        if step is NextStep.REPLAY:
             return _replayed(claim.outcome)
         done = threading.Event()
         with self._lock:
@@ -120,6 +123,7 @@
         """Propose one pending end of a claim whose time has come."""
         with self._lock:
             end = self._backlog.due(self._clock.elapsed_ms())
+            metrics.CLAIM_ENDS_PENDING.set(len(self._backlog))
         if end is not None:
             self._propose_end(end)
 
@@ -149,6 +153,7 @@
             try:
                 answer = self._state.propose(command)
             except Refusal as exc:
+                metrics.CLAIMS.labels("no-quorum").inc()
                 self._keep(claim.on_proposal_failed(exc))
                 raise no_quorum(earlier=key in self._sent) from exc
             step = claim.on_answer(answer, self._clock.elapsed_ms())
@@ -172,11 +177,13 @@
             try:
                 reply = self._send(claim, key, choice, call)
             except SendForbidden:
+                metrics.CLAIMS.labels("dispatch-expired").inc()
                 self._end(claim.give_up())
                 raise dispatch_expired() from None
             except BackendLost as exc:
                 self._routing.lost(exc.backend, exc.kind)
                 if claim.state is CallState.SENT:
+                    metrics.CLAIMS.labels("lost").inc()
                     self._end(claim.finish(None))
                     self._note_crash(fingerprint, exc)
                     raise _lost(exc) from exc
--- a/packages/kernel/src/nutmegdrum/crashguard.py
+++ b/packages/kernel/src/nutmegdrum/crashguard.py
@@ -20,6 +20,7 @@
 )
 from nutmegdrum_coord.verdict import Refusal, Verdict
 
+from nutmegdrum import metrics
 from nutmegdrum.fingerprints import generation_fingerprint
 from nutmegdrum.messages import BackendLost, GenerationRequest, LossKind
 from nutmegdrum.suspects import CLEARED_AFTER_TOKENS, CRASHES, Suspects
@@ -130,6 +131,7 @@
             self.ended(fingerprint, cleared=False)
             return
         now_ms = self._clock.elapsed_ms()
+        metrics.CRASH_REPORTS.inc()
         with self._lock:
             self._trying.discard(fingerprint)
             self._suspects.on_crash(fingerprint, now_ms)
@@ -188,6 +190,7 @@
     ) -> None:
         if not isinstance(answer, Quarantined):
             return
+        metrics.QUARANTINED.inc()
         with self._lock:
             now_ms = self._clock.elapsed_ms()
             self._suspects.on_quarantined(fingerprint, answer.remaining_ms, now_ms)
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -17,7 +17,8 @@
 from nutmegdrum.guarded_routing import GuardedRouting
 from nutmegdrum.heartbeat import Heartbeater, PeerViews
 from nutmegdrum.plain import PlainPath
-from nutmegdrum.plugins import Kind, Registry
+from nutmegdrum.plugins import Event, Kind, Registry
+from nutmegdrum.retries import RetryBudget
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import RpcClient
 from nutmegdrum.settings import Settings
@@ -81,8 +82,10 @@
         )
         self.generations = self.streaming.generations
         self.journal = self.streaming.journal
+        budget = RetryBudget()
+        registry.listen(Event.BACKEND_LOST, lambda **_: budget.on_recovery(clock.elapsed_ms()))
         claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim)
-        self.plain = PlainPath(cfg, clock, routing, self.guard, claims)
+        self.plain = PlainPath(cfg, clock, routing, self.guard, claims, budget)
         peers = PeerViews(cfg, rpc, rng, cfg.entry_vms)
         self.heartbeater = Heartbeater(
             cfg,
--- a/packages/kernel/src/nutmegdrum/metrics.py
+++ b/packages/kernel/src/nutmegdrum/metrics.py
@@ -42,3 +42,9 @@
     buckets=_LATENCY_BUCKETS_S,
 )
 HANDED_OVER = Counter("nutmegdrum_handed_over", "Streams that a shutdown ended for another VM")
+CLAIMS = Counter("nutmegdrum_claims", "Non-idempotent calls by what came of the claim", ["outcome"])
+CLAIM_ENDS_PENDING = Gauge("nutmegdrum_claim_ends_pending", "Ends of claims not committed yet")
+CRASH_REPORTS = Counter("nutmegdrum_crash_reports", "Requests that a dead backend server ran")
+QUARANTINED = Counter("nutmegdrum_quarantined", "Requests that were named as crashing")
+RETRIES = Counter("nutmegdrum_retries", "Repeated idempotent calls, by outcome", ["outcome"])
+ADMISSIONS = Counter("nutmegdrum_admissions", "Admitted requests, by way", ["way"])
--- a/packages/kernel/src/nutmegdrum/repeated_calls.py
+++ b/packages/kernel/src/nutmegdrum/repeated_calls.py
@@ -5,6 +5,7 @@
 from nutmegdrum_coord.ids import BackendId, Fingerprint
 from nutmegdrum_coord.verdict import BACKEND_LOST, RETRY_BUDGET_SPENT, Reason, Refusal, Verdict
 
+from nutmegdrum import metrics
 from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.messages import BackendLost
 from nutmegdrum.plain_http import PlainCall, PlainReply, PlainSender
@@ -73,7 +74,9 @@
             if self._clock.elapsed_ms() >= deadline_ms:
                 return _final(last, BACKEND_LOST, verdict)
             if not self._budget.take(self._clock.elapsed_ms()):
+                metrics.RETRIES.labels("budget-spent").inc()
                 return _final(last, RETRY_BUDGET_SPENT, verdict)
+            metrics.RETRIES.labels("made").inc()
         return _final(last, BACKEND_LOST, verdict)
 
     def _send(self, choice: Choice, call: PlainCall, deadline_ms: int) -> PlainReply:
--- a/packages/kernel/src/nutmegdrum/retries.py
+++ b/packages/kernel/src/nutmegdrum/retries.py
@@ -5,7 +5,6 @@
 DEFAULT_RATIO = 0.1
 DEFAULT_MIN_PER_S = 10
 DEFAULT_BURST = 50
-ESSENTIAL_RESERVE = 0.5
 _MS_PER_S = 1_000
 
 
@@ -14,7 +13,8 @@
 
     Each layer that retries on its own multiplies the load when backend servers fail; drawing on
     one budget, all of them together add at most the ratio, above a small constant rate.
-    Continuations of broken streams are essential: the last part of the budget is kept for them.
+    Recoveries of broken streams count first: while they use the budget up, nothing else is
+    retried.
 
     Parameters
     ----------
@@ -44,12 +44,17 @@
         with self._lock:
             self._credit = min(self._burst, self._credit + self._ratio)
 
-    def take(self, now_ms: int, essential: bool = False) -> bool:
+    def on_recovery(self, now_ms: int) -> None:
+        """Count a stream's new attempt, which has limits of its own and is never refused here."""
+        with self._lock:
+            self._fill(now_ms)
+            self._credit = max(-self._burst, self._credit - 1)
+
+    def take(self, now_ms: int) -> bool:
         """Return whether a retry may be made now; if so, it is counted."""
         with self._lock:
             self._fill(now_ms)
-            floor = 0.0 if essential else self._burst * ESSENTIAL_RESERVE
-            if self._credit - 1 < floor:
+            if self._credit < 1:
                 return False
             self._credit -= 1
             return True
--- a/packages/kernel/src/nutmegdrum/settings.py
+++ b/packages/kernel/src/nutmegdrum/settings.py
@@ -167,8 +167,8 @@
 class ClaimSettings(Model):
     """Retention and waiting of non-idempotent requests."""
 
-    retention: Duration = Duration(86_400_000)
-    max_per_workspace: int = 100_000
+    retention: Duration = Duration(21_600_000)
+    max_per_workspace: int = 20_000
     dispatch_deadline: Duration = Duration(2_000)
     call_timeout: Duration = Duration(10_000)
     join_wait: Duration = Duration(1_000)
--- a/packages/testing/src/nutmegdrum_testing/bench/__main__.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/__main__.py
@@ -19,6 +19,7 @@
     "recovery": "resume latency after a reset, silence, a pause and the loss of an entry VM",
     "overhead": "first token, token gap, processor time and memory against direct",
     "claims": "non-idempotent calls a second",
+    "claim_log": "claims a second that the state replicas commit",
     "goodput": "whole answers under 0.5x to 4x load",
     "overload": "admission under 0.5x to 4x load in model time",
     "notes": "release note from submission to in force",
