Prove the log's safety over failing networks, clocks and disks

Cause: the log was tried on healthy replicas only. A hypothesis state machine and directed scenarios check elections, votes, log matching, committed entries and leases on cores in memory. Ruled out: trusting an unformed copy of a disk, which could vote again under the same identity. Conclusion: safe under one lost or older disk at a time, with cuts, pauses and torn writes.

--- a/packages/coord/src/nutmegdrum_coord/logcore.py
+++ b/packages/coord/src/nutmegdrum_coord/logcore.py
@@ -226,7 +226,6 @@
         self._found(now_ms, cluster, members)
 
     def _found(self, now_ms: int, cluster: str, members: Members) -> None:
-        self._joining.confirmed = True
         self.state.save_ballot(Ballot(cluster, Term(0), None))
         first = Entry(LogPosition(1), Term(0), 0, EntryKind.MEMBERS, encode_members(members))
         self.state.save_entries([first])
@@ -324,7 +323,6 @@
             )
             return False
         if self.state.ballot.cluster == NO_CLUSTER:
-            self._joining.confirmed = True
             self.state.save_ballot(Ballot(req.cluster, req.term, None))
         self._follow(now_ms, req.sender)
         self._election.hear_leader(now_ms)
--- a/packages/coord/src/nutmegdrum_coord/replication.py
+++ b/packages/coord/src/nutmegdrum_coord/replication.py
@@ -34,13 +34,18 @@
         Position up to which entries were sent, in the hope that none is lost.
     heard_ms : int
         Time of the last reply.
+    reset_ms : int
+        Time at which `sent` was last lowered; refusals of older requests say nothing new.
+    chunk : tuple of LogPosition and int
+        Position of the snapshot that the member takes, and the offset that it wants next.
     """
 
     def __init__(self, sent: LogPosition, now_ms: int):
         self.match = LogPosition(0)
         self.sent = sent
         self.heard_ms = now_ms
-        self.chunk_offset = 0
+        self.reset_ms = now_ms
+        self.chunk = (LogPosition(0), 0)
         self.chunk_sent_ms: int | None = None
 
 
@@ -118,27 +123,30 @@
         last = self._state.entries.last.position
         for member in self._others():
             progress = self._progress_of(member, now_ms)
-            if progress.sent < last:
+            if self._state.entries.base.position <= progress.sent < last:
                 self._send_append(member, now_ms)
 
     def on_append_reply(self, now_ms: int, reply: AppendReply) -> None:
         """Note what a member has, or where its log differs."""
         progress = self._hear(now_ms, reply.sender, reply.sent_ms)
         if not reply.accepted:
-            progress.sent = max(progress.match, min(progress.sent, reply.position))
+            if reply.sent_ms >= progress.reset_ms:
+                progress.reset_ms = now_ms
+                progress.sent = max(progress.match, min(progress.sent, reply.position))
             return
         if reply.position > progress.match:
             progress.match = reply.position
-            progress.chunk_offset = 0
+            progress.chunk = (LogPosition(0), 0)
             progress.chunk_sent_ms = None
         progress.sent = max(progress.sent, progress.match)
 
     def on_snapshot_reply(self, now_ms: int, reply: SnapshotReply) -> None:
-        """Send the next chunk."""
+        """Send the next chunk, once for each that has arrived."""
         progress = self._hear(now_ms, reply.sender, reply.sent_ms)
-        if progress.match >= reply.position:
+        wanted = (reply.position, reply.offset)
+        if progress.match >= reply.position or wanted == progress.chunk:
             return
-        progress.chunk_offset = reply.offset
+        progress.chunk = wanted
         self._send_chunk(reply.sender, progress, now_ms)
 
     def _hear(self, now_ms: int, member: Member, sent_ms: int) -> Progress:
@@ -198,7 +206,7 @@
             term=self._state.term,
             base=Base(),
             digest=0,
-            offset=progress.chunk_offset,
+            offset=progress.chunk[1],
             size=0,
             data=b"",
             sent_ms=now_ms,
--- /dev/null
+++ b/packages/coord/tests/test_log_safety.py
@@ -0,0 +1,312 @@
+"""Safety of the replicated log on a network and disks that fail."""
+
+import copy
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from nutmegdrum_coord.logmessages import AppendRequest, decode_message
+from nutmegdrum_testing.lognet import STEP_MS, VMS, Net
+
+vms = st.sampled_from(VMS)
+
+
+def formed(seed):
+    net = Net(seed)
+    net.run(3_000)
+    assert net.serving()
+    return net
+
+
+@pytest.fixture
+def net():
+    return formed(1)
+
+
+def followers(net):
+    return [name for name in VMS if name != net.serving().name]
+
+
+def commit(net, command):
+    net.serving().turn(commands=[command])
+    net.run(8 * STEP_MS)
+
+
+def is_append(data):
+    return isinstance(decode_message(data), AppendRequest)
+
+
+def isolate(net, vm):
+    net.cuts |= {(vm, other) for other in VMS} | {(other, vm) for other in VMS}
+
+
+class TestElections:
+    @pytest.mark.parametrize("seed", range(8))
+    def test_a_restarted_voter_keeps_the_promise_that_it_forgot(self, seed):
+        net = formed(seed)
+        near, far = followers(net)
+        leader = net.serving().name
+        net.cuts = {(leader, far), (far, leader)}
+        net.run(2_000)
+        net.cuts |= {(leader, near), (near, leader)}
+        net.vms[near].start()
+        net.run(2_000)
+        assert net.serving().name == far
+
+    def test_a_leader_that_hears_nobody_steps_down(self, net):
+        leader = net.serving()
+        net.cuts = {(other, leader.name) for other in VMS}
+        net.run(3_000)
+        assert not leader.core.leads
+        assert net.serving().name != leader.name
+
+    def test_a_replica_that_cannot_hear_the_leader_does_not_unseat_it(self, net):
+        leader, deaf = net.serving(), followers(net)[0]
+        term = leader.core.state.term
+        net.cuts = {(leader.name, deaf)}
+        net.run(10_000)
+        assert net.serving() is leader
+        assert leader.core.state.term == term
+
+    def test_a_paused_leader_serves_nothing_when_it_wakes(self, net):
+        leader = net.serving()
+        leader.paused = True
+        net.run(3_000)
+        assert net.serving() not in (None, leader)
+        assert leader.core.propose(leader.now(), b"late") is None
+
+
+class TestDisks:
+    @pytest.mark.parametrize("restarted", [False, True])
+    def test_an_older_disk_does_not_help_to_elect_a_shorter_log(self, net, restarted):
+        leader = net.serving().name
+        rolled, behind = followers(net)
+        old = copy.deepcopy(net.vms[rolled].disk)
+        net.cuts = {(leader, behind), (behind, leader)}
+        commit(net, b"kept")
+        net.vms[rolled].disk = old
+        old.trusted = False
+        net.vms[rolled].start()
+        if restarted:
+            net.vms[leader].start()
+        net.cuts = set()
+        for _ in range(10):
+            net.run(STEP_MS)
+            net.flying = [
+                pair
+                for pair in net.flying
+                if not isinstance(decode_message(pair[1]), AppendRequest)
+            ]
+        isolate(net, leader)
+        net.run(10_000)
+        assert net.serving() is None
+        net.cuts = set()
+        net.run(10_000)
+        assert net.serving().core.state.commit >= net.truth.last
+
+    def test_an_empty_disk_neither_votes_nor_forms_a_cluster(self, net):
+        lost, cut = followers(net)
+        isolate(net, cut)
+        net.vms[net.serving().name].core = None
+        net.vms[lost].lose_disk()
+        net.vms[lost].start()
+        net.run(10_000)
+        assert net.vms[lost].disk.ballot.cluster == ""
+        assert net.serving() is None
+
+    def test_a_second_loss_after_a_repair_loses_nothing(self, net):
+        first, second = followers(net)
+        commit(net, b"one")
+        net.vms[first].lose_disk()
+        net.vms[first].start()
+        net.run(5_000)
+        assert net.vms[first].counts()
+        commit(net, b"two")
+        net.vms[net.serving().name].core = None
+        net.run(5_000)
+        assert net.serving().applied >= net.truth.last
+
+    def test_a_replica_that_restarts_before_it_is_admitted_still_counts_later(self, net):
+        lost = net.vms[followers(net)[0]]
+        lost.lose_disk()
+        lost.disk.trusted = False
+        lost.start()
+        net.run(5_000)
+        assert lost.counts()
+
+
+class TestSnapshots:
+    def test_a_replica_far_behind_catches_up_by_few_messages(self, net):
+        behind = followers(net)[0]
+        isolate(net, behind)
+        for number in range(6):
+            commit(net, str(number).encode())
+        for vm in net.vms.values():
+            vm.compact()
+        net.cuts = set()
+        net.run(2_000)
+        assert net.vms[behind].applied == net.truth.last
+
+
+class LogMachine(RuleBasedStateMachine):
+    @initialize(seed=st.integers(0, 1 << 32))
+    def form(self, seed):
+        self.net = Net(seed)
+        self.count = 0
+        self.net.run(3_000)
+
+    @rule(ms=st.integers(1, 60))
+    def run_well(self, ms):
+        self.net.run(ms * STEP_MS)
+
+    @rule(ms=st.integers(1, 60), loss=st.sampled_from([0.0, 0.1, 0.5]))
+    def run_badly(self, ms, loss):
+        self.net.run(ms * STEP_MS, loss, 0.2, crossed=True)
+
+    @rule(vm=vms, count=st.integers(1, 5))
+    def propose(self, vm, count):
+        commands = [str(self.count + n).encode() for n in range(count)]
+        self.count += count
+        self.net.vms[vm].turn(commands=commands)
+
+    @rule(count=st.integers(1, 5))
+    def propose_to_leader(self, count):
+        vm = self.net.serving()
+        if vm is not None:
+            self.propose(vm.name, count)
+
+    @rule(vm=vms)
+    def commit_without(self, vm):
+        """Commit commands while one VM hears nothing."""
+        cuts = set(self.net.cuts)
+        self.net.cuts |= {(other, vm) for other in VMS if other != vm}
+        self.propose_to_leader(3)
+        self.net.run(4 * STEP_MS)
+        self.net.cuts = cuts
+
+    @rule(vm=vms)
+    def write_alone(self, vm):
+        """Let a leader append commands that reach nobody."""
+        self.propose(vm, 3)
+        self.net.flying.clear()
+
+    @rule(vm=vms)
+    def crash(self, vm):
+        self.net.vms[vm].core = None
+
+    @rule(vm=vms, count=st.integers(0, 4), commands=st.integers(0, 3))
+    def crash_in_a_write(self, vm, count, commands):
+        arrived = [data for to, data in self.net.flying if to == vm]
+        self.net.flying = [pair for pair in self.net.flying if pair[0] != vm]
+        new = [f"torn{self.count + n}".encode() for n in range(commands)]
+        self.count += commands
+        if not self.net.vms[vm].paused:
+            self.net.vms[vm].turn(arrived, new, torn=count)
+
+    @precondition(lambda self: any(vm.core is None for vm in self.net.vms.values()))
+    @rule(vm=vms, rebooted=st.booleans())
+    def restart(self, vm, rebooted):
+        if self.net.vms[vm].core is None:
+            if rebooted:
+                self.net.vms[vm].disk.trusted = False
+            self.net.vms[vm].start()
+
+    @rule(vm=vms)
+    def pause(self, vm):
+        self.net.vms[vm].paused = True
+
+    @precondition(lambda self: any(vm.paused for vm in self.net.vms.values()))
+    @rule(vm=vms)
+    def resume(self, vm):
+        machine = self.net.vms[vm]
+        waiting, machine.waiting = machine.waiting, []
+        machine.paused = False
+        machine.turn(waiting)
+
+    @rule(sender=vms, to=vms)
+    def cut(self, sender, to):
+        self.net.cuts.add((sender, to))
+
+    @rule(vm=vms)
+    def isolate(self, vm):
+        isolate(self.net, vm)
+
+    @precondition(lambda self: self.net.cuts)
+    @rule()
+    def heal(self):
+        self.net.cuts.clear()
+
+    @rule(vm=vms)
+    def compact(self, vm):
+        self.net.vms[vm].compact()
+
+    @rule(vm=vms)
+    def copy_disk(self, vm):
+        machine = self.net.vms[vm]
+        machine.copies = [copy.deepcopy(machine.disk), *machine.copies[:3]]
+
+    def others_count(self, vm):
+        return all(m.counts() for name, m in self.net.vms.items() if name != vm)
+
+    @rule(vm=vms)
+    def lose_disk(self, vm):
+        if self.others_count(vm):
+            self.net.vms[vm].lose_disk()
+            self.net.vms[vm].start()
+
+    @precondition(lambda self: any(vm.copies for vm in self.net.vms.values()))
+    @rule(vm=vms, index=st.integers(0, 3))
+    def roll_back_disk(self, vm, index):
+        machine = self.net.vms[vm]
+        if index < len(machine.copies) and self.others_count(vm):
+            machine.disk = copy.deepcopy(machine.copies[index])
+            machine.disk.trusted = False
+            machine.start()
+
+    @rule(seed=st.integers(0, 1 << 32), faults=st.integers(1, 30))
+    def disturb(self, seed, faults):
+        """Let faults follow each other at random, faster than timeouts."""
+        rng = random.Random(seed)
+        acts = [self.crash, self.pause, self.isolate, self.compact, self.copy_disk]
+        acts += [self.commit_without, self.write_alone, self.lose_disk, self.resume]
+        acts += [lambda vm: self.cut(vm, rng.choice(VMS)), lambda _: self.heal()]
+        acts += [lambda vm: self.crash_in_a_write(vm, rng.randrange(4), rng.randrange(3))]
+        acts += [lambda vm: self.roll_back_disk(vm, rng.randrange(4))]
+        acts += 4 * [lambda vm: self.restart(vm, rng.random() < 0.5)]
+        acts += 2 * [self.resume, lambda _: self.heal(), lambda _: self.propose_to_leader(2)]
+        for _ in range(faults):
+            rng.choice(acts)(rng.choice(VMS))
+            self.net.run(rng.choice([1, 2, 4, 8, 30, 60]) * STEP_MS, rng.choice([0, 0, 0.2]))
+
+    @rule()
+    def recover(self):
+        """Once all is well again, a leader serves everything that was ever committed."""
+        self.heal()
+        for name in VMS:
+            if self.net.vms[name].core is None:
+                self.net.vms[name].start()
+            self.resume(name)
+        for _ in range(20):
+            self.net.run(1_000)
+            if self.net.serving() and all(vm.counts() for vm in self.net.vms.values()):
+                break
+        assert self.net.serving() is not None
+        assert all(vm.counts() for vm in self.net.vms.values())
+
+    @invariant()
+    def holds(self):
+        if hasattr(self, "net"):
+            self.net.check()
+
+    def teardown(self):
+        if hasattr(self, "net"):
+            self.recover()
+
+
+LogMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=30)
+
+
+class TestLogSafety(LogMachine.TestCase):
+    pass
--- a/packages/kernel/src/nutmegdrum/daemon.py
+++ b/packages/kernel/src/nutmegdrum/daemon.py
@@ -66,9 +66,7 @@
     def _entry_role(self, registry: Registry) -> EntryRole | None:
         if Role.ENTRY not in self.cfg.roles:
             return None
-        return EntryRole(
-            self.cfg, self._clock, self._rng, self._rpc, registry, self._incarnation
-        )
+        return EntryRole(self.cfg, self._clock, self._rng, self._rpc, registry, self._incarnation)
 
     def _rpc_servers(self) -> list[RpcServer]:
         cfg = self.cfg
--- a/packages/kernel/src/nutmegdrum/gateway.py
+++ b/packages/kernel/src/nutmegdrum/gateway.py
@@ -128,7 +128,9 @@
     for batch in items:
         for item in batch:
             if isinstance(item, Finish):
-                return Response(200, msgspec.json.encode(whole_answer(generation, req, texts, item)))
+                return Response(
+                    200, msgspec.json.encode(whole_answer(generation, req, texts, item))
+                )
             texts.append(item.text)
     raise v.Refusal(v.BACKEND_LOST, v.Verdict.MAY_HAVE_RUN)
 
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/lognet.py
@@ -0,0 +1,307 @@
+"""Replicas of the log on a network, clocks and disks in memory, checked at each step.
+
+The checks: one leader a term and one vote a term, also over restarts; equal entries at equal
+position and term; committed entries never change, and each leader that serves has them all; no
+two leaders serve at a time, while clocks differ by the drift bound.
+"""
+
+import random
+
+import msgspec
+import xxhash
+from nutmegdrum_coord import logeffects as fx
+from nutmegdrum_coord.entries import EntryList
+from nutmegdrum_coord.ids import IncarnationId, VmId
+from nutmegdrum_coord.logcore import LogCore
+from nutmegdrum_coord.logmessages import (
+    Base,
+    EntryKind,
+    Member,
+    VoteReply,
+    decode_members,
+    decode_message,
+    encode_message,
+)
+from nutmegdrum_coord.logstate import LogTiming
+
+VMS = [VmId("a"), VmId("b"), VmId("c")]
+STEP_MS = 25
+HEARTBEAT_MS = 100
+ELECTION_TIMEOUT_MS = 500
+NEVER_MS = 1 << 40
+KEEP = 2
+CHUNKS = 3
+MAX_FLYING = 1_000
+DRIFT = {VmId("a"): 1.01, VmId("b"): 0.99, VmId("c"): 1.0}
+
+
+def chain(state, entry):
+    """Return the state of the model state machine after an entry."""
+    return xxhash.xxh64_digest(state + bytes(entry.data) + str(entry.at).encode())
+
+
+class Disk:
+    """What one VM has synced."""
+
+    def __init__(self, incarnation):
+        self.incarnation = incarnation
+        self.ballot = fx.Ballot()
+        self.log = EntryList(Base())
+        self.snapshot = Base()
+        self.data = b""
+        self.arriving = b""
+        self.trusted = True
+
+    def saved(self):
+        """Return what a core finds at its start."""
+        base = self.log.base
+        if self.log.term_at(self.snapshot.position) != self.snapshot.term:
+            self.log = EntryList(self.snapshot)
+            base = self.snapshot
+        entries = self.log.between(base.position, self.log.last.position)
+        return fx.Saved(self.ballot, self.snapshot, base, list(entries), self.trusted, True)
+
+
+class Truth:
+    """What the replicas have done together, to check each of them against."""
+
+    def __init__(self):
+        self.leaders = {}
+        self.votes = {}
+        self.entries = {}
+        self.committed = {}
+        self.states = {0: b""}
+        self.members = None
+
+    @property
+    def last(self):
+        """Return the newest position that any replica knows as committed."""
+        return max(self.committed, default=0)
+
+    def once(self, table, key, value):
+        """Check that a key never gets a second value."""
+        assert table.setdefault(key, value) == value, (key, value, table[key])
+
+
+class Vm:
+    """One VM: its clock, disk and running core."""
+
+    def __init__(self, net, name):
+        self.net = net
+        self.name = name
+        self.lives = 0
+        self.copies = []
+        self.core = None
+        self.paused = False
+        self.waiting = []
+        self.lose_disk()
+        self.start()
+
+    def now(self):
+        """Return the VM's own elapsed time in ms, with its drift."""
+        return int(self.net.now_ms * DRIFT[self.name]) + 10_000
+
+    def lose_disk(self):
+        """Replace the disk by an empty one, of a new incarnation."""
+        self.lives += 1
+        self.core = None
+        self.disk = Disk(IncarnationId(f"{self.name}{self.lives}"))
+
+    def start(self):
+        """Start a core on the disk as it is."""
+        member = Member(self.name, self.disk.incarnation)
+        timing = LogTiming(HEARTBEAT_MS, ELECTION_TIMEOUT_MS, NEVER_MS)
+        rng = self.net.rng
+        saved = self.disk.saved()
+        self.core = LogCore(member, VMS, timing, rng, saved, self.now())
+        self.applied = saved.snapshot.position
+        self.state = self.disk.data[: len(self.disk.data) // CHUNKS]
+        self.paused = False
+        self.waiting = []
+
+    def turn(self, messages=(), commands=(), torn=None):
+        """Let the core handle inputs; `torn` is how many records reach the disk before a crash."""
+        if self.core is None:
+            return
+        if self.paused:
+            self.waiting.extend(messages)
+            return
+        now_ms = self.now()
+        effects = self.core.tick(now_ms)
+        for data in messages:
+            effects += self.core.receive(now_ms, decode_message(data))
+        for command in commands:
+            self.core.propose(now_ms, command)
+        effects += self.core.flush(now_ms)
+        if torn is not None:
+            saves = [e for e in effects if isinstance(e, fx.SaveBallot | fx.SaveEntries)]
+            self._save(self._torn(saves, torn))
+            self.core = None
+            return
+        self._save(effects)
+        self._release(effects)
+
+    def _torn(self, saves, torn):
+        split = []
+        for save in saves:
+            if isinstance(save, fx.SaveEntries):
+                split += [fx.SaveEntries([entry]) for entry in save.entries]
+            else:
+                split.append(save)
+        return split[:torn]
+
+    def _save(self, effects):
+        for effect in effects:
+            if isinstance(effect, fx.SaveBallot):
+                self._save_ballot(effect.ballot)
+            elif isinstance(effect, fx.SaveEntries):
+                self._save_entries(effect.entries)
+            elif isinstance(effect, fx.SaveChunk):
+                self.disk.arriving = self.disk.arriving[: effect.offset] + effect.data
+            elif isinstance(effect, fx.InstallSnapshot):
+                self._install(effect)
+            elif isinstance(effect, fx.Trust):
+                self.disk.trusted = True
+
+    def _save_ballot(self, ballot):
+        assert ballot.term >= self.disk.ballot.term
+        self.disk.ballot = ballot
+
+    def _save_entries(self, entries):
+        for entry in entries:
+            before = self.disk.log.term_at(entry.position - 1)
+            content = (before, entry.at, entry.kind, bytes(entry.data))
+            self.net.truth.once(self.net.truth.entries, (entry.position, entry.term), content)
+            self.disk.log.replace([entry])
+
+    def _install(self, effect):
+        assert xxhash.xxh64_intdigest(self.disk.arriving) == effect.digest
+        self.disk.snapshot, self.disk.data = effect.base, self.disk.arriving
+        self.disk.log = EntryList(effect.base)
+
+    def _release(self, effects):
+        for effect in effects:
+            if isinstance(effect, fx.Send):
+                self._note_vote(effect.message)
+                self.net.post(self.name, effect.to, encode_message(effect.message))
+            elif isinstance(effect, fx.SendChunk):
+                self._send_chunk(effect)
+            elif isinstance(effect, fx.Apply):
+                self._apply(effect.entries)
+            elif isinstance(effect, fx.InstallSnapshot):
+                self.applied = effect.base.position
+                self.state = self.disk.data[: len(self.disk.data) // CHUNKS]
+                assert self.state == self.net.truth.states[self.applied]
+            elif isinstance(effect, fx.Retire):
+                self.net.retired += 1
+                self.lose_disk()
+                self.start()
+
+    def _note_vote(self, message):
+        if isinstance(message, VoteReply) and message.granted and not message.pre:
+            voter = (message.sender, message.asked)
+            self.net.truth.once(self.net.truth.votes, voter, message.to)
+
+    def _send_chunk(self, effect):
+        disk = self.disk
+        size = len(disk.data)
+        offset = effect.request.offset
+        request = msgspec.structs.replace(
+            effect.request,
+            base=disk.snapshot,
+            digest=xxhash.xxh64_intdigest(disk.data),
+            size=size,
+            data=disk.data[offset : offset + size // CHUNKS],
+        )
+        self.net.post(self.name, effect.to, encode_message(request))
+
+    def _apply(self, entries):
+        truth = self.net.truth
+        for entry in entries:
+            assert entry.position == self.applied + 1
+            self.applied = entry.position
+            self.state = chain(self.state, entry)
+            content = (entry.term, entry.at, bytes(entry.data))
+            truth.once(truth.committed, entry.position, content)
+            truth.once(truth.states, entry.position, self.state)
+            before = truth.committed.get(entry.position - 1)
+            assert before is None or before[1] <= entry.at
+            if entry.kind is EntryKind.MEMBERS and entry.position == truth.last:
+                truth.members = decode_members(entry.data)
+
+    def compact(self):
+        """Take a snapshot and compact the log."""
+        if self.core is None or self.applied <= self.disk.snapshot.position:
+            return
+        self.disk.snapshot = self.core.state.entries.base_at(self.applied)
+        self.disk.data = self.state * CHUNKS
+        compacted = self.core.compact(self.applied, KEEP)
+        self.disk.log = EntryList(compacted.base, compacted.entries)
+
+    def serves(self):
+        """Return whether the core would serve now."""
+        return self.core is not None and self.core.serves(self.now())
+
+    def counts(self):
+        """Return whether the disk holds all that this VM promised as a voter."""
+        members = self.net.truth.members
+        if members is None:
+            return self.disk.ballot.cluster != ""
+        return Member(self.name, self.disk.incarnation) in members.voters and self.disk.trusted
+
+
+class Net:
+    """VMs and the messages between them."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.now_ms = 0
+        self.retired = 0
+        self.truth = Truth()
+        self.flying = []
+        self.cuts = set()
+        self.vms = {name: Vm(self, name) for name in VMS}
+
+    def post(self, sender, to, data):
+        """Put a message on its way."""
+        if (sender, to) not in self.cuts:
+            self.flying.append((to, data))
+
+    def run(self, ms, loss=0.0, twice=0.0, crossed=False):
+        """Let time pass for all, with messages lost, doubled or crossed."""
+        for _ in range(ms // STEP_MS):
+            self.now_ms += STEP_MS
+            for name in self.rng.sample(VMS, len(VMS)):
+                self.vms[name].turn()
+            self.deliver(loss, twice, crossed)
+            self.check()
+            assert len(self.flying) < MAX_FLYING
+
+    def deliver(self, loss, twice, crossed):
+        """Deliver the messages that are on their way."""
+        flying, self.flying = self.flying, []
+        if crossed:
+            self.rng.shuffle(flying)
+            held = self.rng.randrange(len(flying) + 1)
+            self.flying, flying = flying[:held], flying[held:]
+        for to, data in flying:
+            if self.rng.random() < loss:
+                continue
+            if self.rng.random() < twice:
+                self.flying.append((to, data))
+            self.vms[to].turn([data])
+            self.check()
+
+    def check(self):
+        """Check who leads and who serves."""
+        for vm in self.vms.values():
+            if vm.core is not None and vm.core.leads:
+                self.truth.once(self.truth.leaders, vm.core.state.term, vm.core.identity)
+        serving = [vm for vm in self.vms.values() if vm.serves()]
+        assert len(serving) <= 1, [vm.name for vm in serving]
+        for vm in serving:
+            assert vm.core.state.commit >= self.truth.last
+
+    def serving(self):
+        """Return the VM that serves, or None."""
+        return next((vm for vm in self.vms.values() if vm.serves()), None)
