Test the log's node against lost, damaged and full disks

Cause: threads and files around the core were tried on healthy replicas only. Ruled out: starting anew in a folder whose identity is missing but that belongs to a cluster; it is set aside, as a damaged one is. Conclusion: a lost disk and then a second VM, a flipped byte, a full disk and a cut leader lose nothing, and each is refused with the right verdict.

--- a/packages/coord/src/nutmegdrum_coord/logstore.py
+++ b/packages/coord/src/nutmegdrum_coord/logstore.py
@@ -138,6 +138,10 @@
             return None
         return _decode(self._single(data, "identity"), Identity)
 
+    def holds_state(self) -> bool:
+        """Return whether the folder belongs to a replica of some cluster."""
+        return (self.folder / "ballot").exists() and self._load_ballot() != Ballot()
+
     def trust(self, incarnation: IncarnationId) -> None:
         """Note that the files are good in the present boot of the VM."""
         data = _encoder.encode(Identity(incarnation, self._boot))
--- a/packages/kernel/src/nutmegdrum/logfolder.py
+++ b/packages/kernel/src/nutmegdrum/logfolder.py
@@ -28,6 +28,8 @@
         identity = store.identity()
         if identity is not None:
             return store, identity.incarnation, store.load(new=not _has_retired(folder))
+        if store.holds_state():
+            raise Damaged("identity: missing")
     except Damaged as exc:
         store.close()
         log.error("data folder is set aside, this replica starts as a new member: %s", exc)
--- a/packages/kernel/tests/test_lognode.py
+++ b/packages/kernel/tests/test_lognode.py
@@ -1,4 +1,11 @@
+import errno
+import shutil
+
 import pytest
+from nutmegdrum.lognode import SYNCS
+from nutmegdrum.settings import ControlSettings
+from nutmegdrum.units import Duration
+from nutmegdrum_coord.verdict import NO_QUORUM, NOT_LEADER, Verdict
 from nutmegdrum_testing.logcluster import LogCluster
 from nutmegdrum_testing.waiting import wait_for
 
@@ -32,3 +39,112 @@
         cluster.start()
         submit(cluster, b"b")
         assert all_have(cluster, [b"a", b"b"])
+
+    def test_a_burst_of_proposals_shares_syncs(self, cluster):
+        cluster.start()
+        submit(cluster, b"a")
+        leader = wait_for(cluster.leader)
+        before = SYNCS._value.get()
+        futs = [leader.propose(b"%d" % number) for number in range(200)]
+        assert [fut.result(timeout=10).answer for fut in futs][-1] == b"201"
+        assert SYNCS._value.get() - before < 200
+
+    def test_a_follower_refuses_proposals_and_names_the_leader(self, cluster):
+        cluster.start()
+        submit(cluster, b"a")
+        leader = wait_for(cluster.leader)
+        follower = next(node for node in cluster.nodes.values() if node is not leader)
+        refusal = follower.propose(b"b").exception(timeout=5)
+        assert (refusal.why, refusal.verdict) == (NOT_LEADER, Verdict.NOT_RUN)
+
+    def test_a_leader_that_is_cut_off_stops_serving_and_says_what_it_knows(self, cluster):
+        cluster.start()
+        submit(cluster, b"a")
+        leader = wait_for(cluster.leader)
+        own = leader.identity().vm
+        cluster.cuts = {(vm, own) for vm in cluster.vms} | {(own, vm) for vm in cluster.vms}
+        refusal = leader.propose(b"lost").exception(timeout=10)
+        assert (refusal.why, refusal.verdict) == (NO_QUORUM, Verdict.MAY_HAVE_RUN)
+        assert not leader.is_leader()
+        submit(cluster, b"b")
+        cluster.cuts = set()
+        assert all_have(cluster, [b"a", b"b"])
+
+
+class TestDisks:
+    def test_a_lost_disk_and_then_a_second_vm_lose_nothing(self, cluster):
+        cluster.start()
+        submit(cluster, b"a")
+        leader = wait_for(cluster.leader).identity().vm
+        lost = next(vm for vm in cluster.vms if vm != leader)
+        cluster.stop(lost)
+        shutil.rmtree(cluster.folder(lost))
+        cluster.start(lost)
+        submit(cluster, b"b")
+        node = cluster.nodes[lost]
+        wait_for(lambda: node.identity() in cluster.nodes[leader].members().voters, timeout_s=20)
+        submit(cluster, b"c")
+        cluster.stop(leader)
+        submit(cluster, b"d")
+        assert all_have(cluster, [b"a", b"b", b"c", b"d"])
+
+    def test_a_damaged_log_is_set_aside_and_repaired_from_the_peers(self, cluster):
+        cluster.start()
+        for number in range(5):
+            submit(cluster, b"%d" % number)
+        vm = next(vm for vm in cluster.vms if vm != wait_for(cluster.leader).identity().vm)
+        old = cluster.nodes[vm].identity()
+        cluster.stop(vm)
+        path = cluster.folder(vm) / "log" / "log"
+        data = bytearray(path.read_bytes())
+        data[len(data) // 2] ^= 1
+        with path.open("r+b") as file:
+            file.write(data)
+        cluster.start(vm)
+        assert cluster.nodes[vm].identity() != old
+        assert all_have(cluster, [b"%d" % number for number in range(5)])
+        wait_for(lambda: cluster.nodes[vm].identity() in cluster.nodes[vm].members().voters)
+
+    def test_a_failing_disk_steps_down_and_another_leads(self, cluster, monkeypatch):
+        cluster.start()
+        submit(cluster, b"a")
+        leader = wait_for(cluster.leader)
+
+        def full(entries):
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+        monkeypatch.setattr(leader._store, "append", full)
+        refusal = leader.propose(b"lost").exception(timeout=10)
+        assert refusal.verdict is Verdict.MAY_HAVE_RUN
+        assert leader.has_failed()
+        submit(cluster, b"b")
+        assert wait_for(cluster.leader) is not leader
+
+
+class TestSnapshots:
+    @pytest.fixture
+    def cluster(self, tmp_path):
+        control = ControlSettings(
+            election_timeout=Duration(300), log_heartbeat=Duration(50), snapshot_every=40
+        )
+        cluster = LogCluster(tmp_path, control=control)
+        yield cluster
+        cluster.stop()
+
+    def test_a_new_member_gets_a_snapshot_and_a_restart_reads_it(self, cluster):
+        cluster.start()
+        submit(cluster, b"first")
+        late = next(vm for vm in cluster.vms if vm != wait_for(cluster.leader).identity().vm)
+        cluster.stop(late)
+        shutil.rmtree(cluster.folder(late))
+        leader = wait_for(cluster.leader)
+        futs = [leader.propose(b"%d" % number) for number in range(700)]
+        for fut in futs:
+            fut.result(timeout=20)
+        cluster.start(late)
+        commands = [b"first", *(b"%d" % number for number in range(700))]
+        assert all_have(cluster, commands)
+        cluster.stop(late)
+        cluster.start(late)
+        assert cluster.nodes[late].applied_position() > 600
+        assert all_have(cluster, commands)
