--- a/packages/kernel/src/nutmegdrum/daemon.py
+++ b/packages/kernel/src/nutmegdrum/daemon.py
@@ -52,16 +52,16 @@
         self._clock = SystemClock()
         self._rng = random.Random(random.SystemRandom().getrandbits(64))
         self._rpc = RpcClient(Sender(cfg.deployment, cfg.vm.id, self._incarnation))
-        self._registry = load_plugins(cfg.plugins, cfg.plugin_settings)
-        self.state = self._state_role()
-        self.entry = self._entry_role(self._registry)
+        registry = load_plugins(cfg.plugins, cfg.plugin_settings)
+        self.state = self._state_role(registry)
+        self.entry = self._entry_role(registry)
         self._servers = self._rpc_servers()
         self._ops = OpsListener(cfg.listen.ops, self.not_ready)
 
-    def _state_role(self) -> StateRole | None:
+    def _state_role(self, registry: Registry) -> StateRole | None:
         if Role.STATE not in self.cfg.roles:
             return None
-        return StateRole(self.cfg, self._clock, self._rng, self._rpc)
+        return StateRole(self.cfg, self._clock, self._rng, self._rpc, registry)
 
     def _entry_role(self, registry: Registry) -> EntryRole | None:
         if Role.ENTRY not in self.cfg.roles:
@@ -86,7 +86,7 @@
         return "; ".join(reason for reason in reasons if reason)
 
     def start(self) -> None:
-        """Bind all listeners, then start the roles.
+        """Bind all listeners, start the roles, then serve other VMs.
 
         Raises
         ------
@@ -94,11 +94,13 @@
             If an address cannot be bound.
         """
         for server in self._servers:
-            server.start()
-        self._ops.start()
+            server.bind()
         for role in (self.state, self.entry):
             if role is not None:
                 role.start()
+        self._ops.start()
+        for server in self._servers:
+            server.start()
         log_change("started", roles=[role.value for role in self.cfg.roles])
 
     def run(self) -> None:
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -2,25 +2,35 @@
 
 import random
 
+from nutmegdrum_coord.claims import ClaimAnswer
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import IncarnationId
+from nutmegdrum_coord.parts import Command, decode_answer, encode_command
+from nutmegdrum_coord.quarantine import QuarantineAnswer
 
-from nutmegdrum.admission import Admission
+from nutmegdrum.admission import Admission, new_control
+from nutmegdrum.cache_poller import POLL_MS as CACHE_POLL_MS
+from nutmegdrum.cache_poller import CachePoller
+from nutmegdrum.claimed_calls import ClaimWriter
+from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.gateway import Gateway
-from nutmegdrum.generations import Generations
-from nutmegdrum.heartbeat import Heartbeater
+from nutmegdrum.guarded_routing import GuardedRouting
+from nutmegdrum.heartbeat import Heartbeater, PeerViews
 from nutmegdrum.plain import PlainPath
 from nutmegdrum.plugins import Kind, Registry
-from nutmegdrum.relay import Relay
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import RpcClient
 from nutmegdrum.settings import Settings
 from nutmegdrum.state_client import StateClient
+from nutmegdrum.streaming import Streaming
 from nutmegdrum.ticker import Ticker
+from nutmegdrum.version_watch import VersionWatch
 from nutmegdrum.wsgi import HttpListener
 
 BACKEND_PROTOCOL = "http"
-DRAIN_POLL_S = 0.05
+CLAIM_TIMEOUT_MS = 2_000
+SUSPICION_TIMEOUT_MS = 300
+PLAIN_TICK_MS = 100
 
 
 class EntryRole:
@@ -48,14 +58,46 @@
         self.rng = rng
         self.registry = registry
         protocol = registry.get(Kind.BACKEND_PROTOCOL, BACKEND_PROTOCOL)
-        self.router = Router(cfg, clock, rng, registry)
-        self.admission = Admission(cfg)
+        self.watch = VersionWatch(clock)
+        self.router = Router(cfg, clock, rng, registry, self.watch.allows)
+        control = new_control(cfg, registry, self.router.free_slots, clock.elapsed_ms())
+        self.admission = Admission(control, clock)
         self.state = StateClient(rpc, cfg.state_replicas)
-        relay = Relay(cfg, clock, rng, protocol, self.router.choose, registry)
-        self.generations = Generations(clock, self.admission, relay, random.SystemRandom())
-        self.plain = PlainPath(cfg, clock, self.router, self.state)
-        self.heartbeater = Heartbeater(cfg, clock, self.state, self.router, incarnation)
+        self.guard = CrashGuard(cfg.vm.id, clock, self._propose_suspicion)
+        routing = GuardedRouting(self.router, self.guard)
+        self.streaming = Streaming(
+            cfg,
+            clock,
+            random.SystemRandom(),
+            rpc,
+            protocol,
+            routing,
+            registry,
+            self.admission,
+            self.guard,
+            self.watch,
+        )
+        self.generations = self.streaming.generations
+        self.journal = self.streaming.journal
+        claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim)
+        self.plain = PlainPath(cfg, clock, routing, self.guard, claims)
+        peers = PeerViews(cfg, rpc, rng, cfg.entry_vms)
+        self.heartbeater = Heartbeater(
+            cfg,
+            clock,
+            self.state,
+            self.router,
+            self.admission,
+            self.guard,
+            self.watch,
+            peers,
+            incarnation,
+        )
+        self.gossip = self.heartbeater.gossip
         self._ticker = Ticker("heartbeat", cfg.control.heartbeat, self.heartbeater.beat)
+        self._plain_ticker = Ticker("plain", PLAIN_TICK_MS, self.plain.tick)
+        poller = CachePoller(protocol, self.router)
+        self._cache_ticker = Ticker("cache-events", CACHE_POLL_MS, poller.tick)
         self._listener = HttpListener(
             cfg.listen.callers,
             Gateway(self),
@@ -65,6 +107,14 @@
             max_headers=cfg.callers.max_headers,
         )
 
+    def _propose_claim(self, command: Command) -> ClaimAnswer:
+        encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
+        return decode_answer(self.state.propose(encoded, CLAIM_TIMEOUT_MS), ClaimAnswer)
+
+    def _propose_suspicion(self, command: Command) -> QuarantineAnswer:
+        encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
+        return decode_answer(self.state.propose(encoded, SUSPICION_TIMEOUT_MS), QuarantineAnswer)
+
     def start(self) -> None:
         """Open the callers' listener and start to report.
 
@@ -74,6 +124,9 @@
             If the address cannot be bound.
         """
         self._ticker.start()
+        self._plain_ticker.start()
+        self._cache_ticker.start()
+        self.streaming.start()
         self._listener.start()
 
     def not_ready(self) -> str:
@@ -86,4 +139,7 @@
     def stop(self) -> None:
         """Close the callers' listener."""
         self._ticker.stop()
+        self._plain_ticker.stop()
+        self._cache_ticker.stop()
         self._listener.stop()
+        self.streaming.stop()
--- a/packages/kernel/src/nutmegdrum/gateway.py
+++ b/packages/kernel/src/nutmegdrum/gateway.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
+from urllib.parse import quote
 
 import msgspec
 from nutmegdrum_coord import verdict as v
-from nutmegdrum_coord.ids import GenerationId, IdempotencyKey
 
-from nutmegdrum import metrics, sse
-from nutmegdrum.completions import generation_request, parse_body, whole_answer
-from nutmegdrum.messages import Finish, GenerationRequest, Token
+from nutmegdrum.admission import AdmissionRequest
+from nutmegdrum.completion_path import CompletionPath, count_refusal
 from nutmegdrum.problems import problem_headers, problem_of
 from nutmegdrum.settings import WorkspaceSettings
 from nutmegdrum.workspaces import Workspaces
@@ -21,15 +20,14 @@
     StartResponse,
     read_body,
     request_headers,
-    status_line,
 )
 
 if TYPE_CHECKING:
     from nutmegdrum.entry import EntryRole
 
 _COMPLETION_PATHS = {"/v1/completions": False, "/v1/chat/completions": True}
+_PATH_CHARACTERS = "/:@!$&'()*+,;=~"
 _GENERATIONS_PREFIX = "/v1/generations/"
-_SSE_HEADERS = [("Content-Type", sse.CONTENT_TYPE), ("Cache-Control", "no-store")]
 
 
 class Gateway:
@@ -44,6 +42,7 @@
     def __init__(self, entry: EntryRole):
         self._entry = entry
         self._workspaces = Workspaces(entry.cfg.workspaces)
+        self._completions = CompletionPath(entry.generations, entry.rng)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request; every refusal becomes a problem document."""
@@ -59,87 +58,36 @@
         method = environ["REQUEST_METHOD"]
         if path in _COMPLETION_PATHS and method == "POST":
             chat = _COMPLETION_PATHS[path]
-            return self._complete(workspace, chat, headers, environ, start_response)
+            body = read_body(environ)
+            return self._completions.answer(workspace, chat, headers, body, start_response)
         if path.startswith(_GENERATIONS_PREFIX) and method == "DELETE":
-            generation = GenerationId(path.removeprefix(_GENERATIONS_PREFIX))
-            self._entry.generations.cancel(workspace.id, generation)
+            self._completions.cancel(workspace, path.removeprefix(_GENERATIONS_PREFIX))
             return Response(204).send(start_response)
-        reply = self._entry.plain.handle(
-            workspace, method, path, headers, environ.get("QUERY_STRING", ""), read_body(environ)
-        )
-        return reply.send(start_response)
+        return self._plain(workspace, headers, environ).send(start_response)
 
-    def _complete(
-        self,
-        workspace: WorkspaceSettings,
-        chat: bool,
-        headers: dict[str, str],
-        environ: Environ,
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
-        body = parse_body(read_body(environ), chat)
-        key = IdempotencyKey(headers.get("idempotency-key", ""))
-        req = generation_request(body, workspace.id, key, chat, self._entry.rng)
-        answer = self._entry.generations.start(workspace, req, headers.get("last-event-id", ""))
-        if not body.stream:
-            return _whole(answer.generation, req, answer.items).send(start_response)
-        items = _first_ready(answer.items)
-        start_response(status_line(200), _SSE_HEADERS)
-        return _events(answer.generation, req, items)
-
-
-def _first_ready(items: Iterator[list[Token | Finish]]) -> Iterator[list[Token | Finish]]:
-    """Wait for the first batch, so that an early refusal still sets the status."""
-    first = next(items)
-
-    def chain() -> Iterator[list[Token | Finish]]:
+    def _plain(
+        self, workspace: WorkspaceSettings, headers: dict[str, str], environ: Environ
+    ) -> Response:
+        path = environ["PATH_INFO"]
+        route = self._entry.plain.find_route(path)
+        if isinstance(route, v.Reason):
+            raise v.Refusal(route, detail=f"no route for {path}")
+        query = environ.get("QUERY_STRING", "")
+        quoted = quote(path.encode("latin-1"), safe=_PATH_CHARACTERS)
+        target = f"{quoted}?{query}" if query else quoted
+        body = read_body(environ)
+        demand = AdmissionRequest(workspace.id, stream=False)
+        ticket = self._entry.admission.admit(demand, self._entry.clock.elapsed_ms())
         try:
-            yield first
-            yield from items
+            reply = self._entry.plain.handle(
+                workspace.id, route, environ["REQUEST_METHOD"], target, headers, body
+            )
         finally:
-            items.close()
-
-    return chain()
-
-
-def _events(
-    generation: GenerationId, req: GenerationRequest, items: Iterator[list[Token | Finish]]
-) -> Iterator[bytes]:
-    encoder = sse.EventEncoder(generation, req.model, req.chat)
-    try:
-        for batch in items:
-            yield "".join(_encode(encoder, item) for item in batch).encode()
-        yield sse.DONE
-    except v.Refusal as refusal:
-        _count(refusal)
-        yield encoder.failure(problem_of(refusal))
-    finally:
-        items.close()
-
-
-def _encode(encoder: sse.EventEncoder, item: Token | Finish) -> str:
-    return encoder.token(item) if isinstance(item, Token) else encoder.finish(item)
-
-
-def _whole(
-    generation: GenerationId, req: GenerationRequest, items: Iterator[list[Token | Finish]]
-) -> Response:
-    texts: list[str] = []
-    for batch in items:
-        for item in batch:
-            if isinstance(item, Finish):
-                return Response(
-                    200, msgspec.json.encode(whole_answer(generation, req, texts, item))
-                )
-            texts.append(item.text)
-    raise v.Refusal(v.BACKEND_LOST, v.Verdict.MAY_HAVE_RUN)
+            self._entry.admission.release(ticket)
+        return Response(reply.status, reply.body, list(reply.headers.items()))
 
 
 def _refuse(refusal: v.Refusal) -> Response:
-    _count(refusal)
+    count_refusal(refusal)
     problem = problem_of(refusal)
     return Response(problem.status, msgspec.json.encode(problem), problem_headers(problem))
-
-
-def _count(refusal: v.Refusal) -> None:
-    metrics.REFUSALS.labels(refusal.why.code, refusal.verdict.value).inc()
--- a/packages/kernel/src/nutmegdrum/leader.py
+++ b/packages/kernel/src/nutmegdrum/leader.py
@@ -11,6 +11,7 @@
 from nutmegdrum.draining import Drains, Instance
 from nutmegdrum.fleet import Fleet, LiveList, VmState
 from nutmegdrum.judging import JudgeFactory
+from nutmegdrum.limit_shares import LimitShares
 from nutmegdrum.loading import SpareCapacity
 from nutmegdrum.messages import LoadReport, OrderKind, OrderStatus
 from nutmegdrum.moves import Move, MoveKind, MoveState
@@ -20,7 +21,7 @@
 from nutmegdrum.placement import (
     MIN_TRIAL_BACKENDS,
     Placement,
-    backends_needed,
+    backends_required,
     ready_backends,
     remaining_loads,
 )
@@ -96,6 +97,7 @@
         self._urgent: list[Command] = []
         self.fleet = Fleet(cfg.backend_servers)
         self.entries = {peer.vm: EntryObserved() for peer in cfg.entry_vms}
+        self._limit_shares = LimitShares()
         self._trials = Trials(self._releases, judges, cfg.moves)
         self._spare = SpareCapacity(cfg.moves.weigh)
         self._drains = Drains(
@@ -108,7 +110,7 @@
             fencing,
             now_ms,
             lease_ms=cfg.control.election_timeout,
-            deadline_ms=cfg.moves.order_deadline,
+            deadline_ms=int(cfg.moves.order_deadline),
             rng=rng,
         )
 
@@ -131,11 +133,13 @@
             pause = self._trials.on_trip(trip)
             if pause is not None:
                 self._urgent.append(pause)
+        self._limit_shares.take(report.vm, report.use, now_ms)
         view = self.view()
         return HeartbeatAnswer(
             fresh=fresh,
-            lease_ms=self._cfg.control.freshness_lease,
+            lease_ms=int(self._cfg.control.freshness_lease),
             view=None if report.generation == view.generation else view,
+            shares=self._limit_shares.shares(report.vm, len(self.entries), now_ms),
         )
 
     def on_load_report(self, now_ms: ElapsedMs, backend: BackendId, report: LoadReport) -> None:
@@ -161,7 +165,7 @@
 
     def view(self) -> View:
         """Return the view as of now, numbered."""
-        grant_ms = self._cfg.moves.grant_lease
+        grant_ms = int(self._cfg.moves.grant_lease)
         quarantines = self._quarantines()
         view = build_view(self._state, self.fleet, grant_ms, quarantines=quarantines)
         return self._numbering.number(view)
@@ -220,7 +224,7 @@
         if move.state is MoveState.LOADING:
             return _step(move, MoveState.TRIAL) if self._carried(move, 0, now_ms) else None
         carried = self._carried(move, move.step + 1, now_ms)
-        return self._trials.decide(move, times, load_ms, carried)
+        return self._trials.decide(move, times, self._spare.planned_ms(load_ms), carried)
 
     def _carried(self, move: Move, step: int, now_ms: ElapsedMs) -> bool:
         if step >= len(move.share_steps):
@@ -230,7 +234,7 @@
         if model.plain:
             return ready >= MIN_TRIAL_BACKENDS
         reachable = [m for m in self.fleet.serving(move.service) if m.reachable(now_ms)]
-        return 0 < backends_needed(move.share_steps[step], len(reachable)) <= ready
+        return 0 < backends_required(move.share_steps[step], len(reachable)) <= ready
 
     def _added(self, move: Move) -> bool:
         model = self._releases.models[move.model]
@@ -266,7 +270,7 @@
         loading = [
             backend
             for backend, entry in self._orders.open.items()
-            if entry.order.kind is OrderKind.LOAD
+            if entry.order.kind is OrderKind.LOAD and self._reachable(now_ms, backend)
         ]
         for load in placement.loads():
             if load.backend in loading or not self._spare.allows(now_ms, self.fleet, load, loading):
@@ -289,6 +293,10 @@
                 intents[instance.backend] = intent
         return list(intents.values())
 
+    def _reachable(self, now_ms: ElapsedMs, backend: BackendId) -> bool:
+        member = self.fleet.members.get(backend)
+        return member is not None and member.reachable(now_ms)
+
     def _weights_of(self, model: ModelName, version: VersionName) -> Weights | None:
         return self._weights.get((model, version))
 
--- a/packages/kernel/src/nutmegdrum/relay.py
+++ b/packages/kernel/src/nutmegdrum/relay.py
@@ -1,125 +1,134 @@
-"""Relaying of one caller's generation, over as many attempts as it takes.
+"""Relaying of one generation's tokens to its readers, over as many attempts as it takes.
 
-The caller's thread reads from the backend server, so a stream has one thread and one connection
-at a time.
+The reader's thread starts attempts and writes to its caller. One thread for all streams takes the
+tokens from the backend servers; they are released once all live holders have them.
 """
 
-from collections.abc import Callable, Iterator
-from random import Random
+import threading
+from collections.abc import Iterator
 
+from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import Epoch, GenerationId
-from nutmegdrum_coord.verdict import Reason, Refusal, Verdict
 
-from nutmegdrum.backends import BackendProtocol, TokenSource
-from nutmegdrum.messages import BackendLost, Finish, GenerationRequest, LossKind, Token
-from nutmegdrum.plugins import Event, Registry
-from nutmegdrum.routing_query import Choice, Choose
-from nutmegdrum.settings import BackendSettings, Settings
-from nutmegdrum.streams import UNHARMED, Stream, StreamState
+from nutmegdrum import metrics
+from nutmegdrum.attempts import Attempts
+from nutmegdrum.journal_sender import JournalSender
+from nutmegdrum.messages import Finish
+from nutmegdrum.session import Batch, ReadBatch, Session, split_epochs
+from nutmegdrum.starts import RETRY_AFTER_MS, Starts
 
-Batch = list[Token | Finish]
-
-FIRST_EPOCH = Epoch(1)
-_RETRY_AFTER_MS = 1_000
+OWNERSHIP_CHECK_MS = 1_000
+CONFIRM_TIMEOUT_MS = 3_000
+LOOK_MS = 500
+COUNT_EVERY = 32
+_MS_PER_S = 1_000
 
 
 class Relay:
-    """Runs generations on backend servers and yields their tokens in one chain.
-
-    Parameters
-    ----------
-    choose : Choose
-        Routing: the backend server and version for an attempt, or why there is none.
-    losses : callable or None
-        Called with the request and each loss, to find requests that crash backend servers.
-    """
-
-    def __init__(
-        self,
-        cfg: Settings,
-        clock: Clock,
-        rng: Random,
-        protocol: BackendProtocol,
-        choose: Choose,
-        registry: Registry,
-        losses: Callable[[GenerationRequest, BackendLost], None] | None = None,
-    ):
-        self._cfg = cfg.streams
+    """Gives readers the tokens of sessions, and ends sessions."""
+
+    def __init__(self, clock: Clock, sender: JournalSender, attempts: Attempts, starts: Starts):
         self._clock = clock
-        self._rng = rng
-        self._protocol = protocol
-        self._choose = choose
-        self._registry = registry
-        self._losses = losses
+        self._sender = sender
+        self._attempts = attempts
+        self._starts = starts
 
-    def run(
-        self, req: GenerationRequest, generation: GenerationId, first_index: int = 0
-    ) -> Iterator[Batch]:
-        """Yield batches of tokens from `first_index` on; the last batch ends with the finish.
+    def read(self, session: Session, first_index: int = 0) -> Iterator[ReadBatch]:
+        """Yield a session's items from `first_index` on; the last one is the finish.
 
         Raises
         ------
         Refusal
-            If the generation can't go on.
+            If the generation can't go on here.
         """
-        stream = Stream(req, generation, FIRST_EPOCH, self._cfg.max_attempts)
-        while stream.state is not StreamState.FINISHED:
-            choice = self._next_choice(stream)
-            for batch in self._attempt(stream, choice):
-                yield [item for item in batch if _is_wanted(item, first_index)]
-
-    def _next_choice(self, stream: Stream) -> Choice:
-        why = stream.spent()
-        choice = why if why is not None else self._choose(stream.query())
-        if isinstance(choice, Reason):
-            verdict = Verdict.MAY_HAVE_RUN if stream.losses else Verdict.NOT_RUN
-            raise Refusal(choice, verdict, _RETRY_AFTER_MS)
-        return choice
-
-    def _attempt(self, stream: Stream, choice: Choice) -> Iterator[Batch]:
-        call = stream.begin(choice.backend.id, choice.version)
-        source = None
+        gate = session.add_gate()
+        index = first_index
+        uncounted = 0
+        try:
+            while True:
+                batch = self._next(session, index, gate)
+                ended = isinstance(batch[-1], Finish)
+                uncounted += len(batch) - ended
+                if ended or uncounted >= COUNT_EVERY:
+                    metrics.TOKENS.inc(uncounted)
+                    uncounted = 0
+                yield from split_epochs(session.lineage, batch)
+                if ended:
+                    return
+                index += len(batch)
+        finally:
+            metrics.TOKENS.inc(uncounted)
+            session.remove_gate(gate)
+
+    def _next(self, session: Session, index: int, gate: threading.Lock) -> Batch:
+        while True:
+            self._check(session)
+            if session.done or session.released > index:
+                self._check_owner(session, gate)
+                return session.batch(index)
+            if session.attempt is None and session.stream.finish is None:
+                self._start(session)
+            else:
+                gate.acquire(timeout=LOOK_MS / _MS_PER_S)
+
+    def _check(self, session: Session) -> None:
+        if session.failure is None and session.journalled.superseded and not session.done:
+            detail = "another VM goes on with this stream"
+            stale = v.Refusal(v.STALE_EPOCH, v.Verdict.MAY_HAVE_RUN, RETRY_AFTER_MS, detail)
+            self.fail(session, stale)
+        if session.failure is not None:
+            raise session.failure
+
+    def _start(self, session: Session) -> None:
+        with session.starting:
+            if session.attempt is not None or session.ended or session.stream.finish is not None:
+                return
+            try:
+                self._starts.begin(session)
+            except v.Refusal as refusal:
+                self.fail(session, refusal)
+
+    def _check_owner(self, session: Session, gate: threading.Lock) -> None:
+        """Ask the holders after a pause whether another VM has taken the stream over."""
+        paused_ms = self._clock.elapsed_ms() - session.confirmed_ms
+        if paused_ms > OWNERSHIP_CHECK_MS and not session.done:
+            self._confirm(session, gate)
+            self._check(session)
+
+    def confirm(self, session: Session) -> bool:
+        """Return whether the holders confirm that this VM owns the stream."""
+        gate = session.add_gate()
         try:
-            source = self._protocol.open(choice.backend, call, self._cfg.connect_timeout)
-            yield from self._accept_all(stream, call.attempt, source)
-        except BackendLost as loss:
-            self._lose(stream, choice.backend, call.attempt, loss)
-        except GeneratorExit:
-            self._cancel(stream, choice.backend, call.attempt)
-            raise
+            self._confirm(session, gate)
         finally:
-            if source is not None:
-                source.close()
-
-    def _accept_all(self, stream: Stream, attempt: int, source: TokenSource) -> Iterator[Batch]:
-        timeout_ms = int(self._cfg.first_token_timeout)
-        while stream.state is StreamState.RUNNING:
-            items = source.next(timeout_ms)
-            timeout_ms = int(self._cfg.max_token_timeout)
-            dropped = stream.dropped
-            batch = stream.accept(attempt, items)
-            if batch:
-                yield batch
-            if stream.dropped != dropped:
-                assert stream.backend is not None
-                raise BackendLost(stream.backend, LossKind.ERROR, True, "tokens out of order")
-
-    def _lose(
-        self, stream: Stream, backend: BackendSettings, attempt: int, loss: BackendLost
-    ) -> None:
-        stream.lose(attempt, loss.kind, self._clock.elapsed_ms())
-        if loss.kind is LossKind.SILENT:
-            self._cancel(stream, backend, attempt)
-        if loss.kind in UNHARMED - {LossKind.REFUSED}:
-            return
-        self._registry.send(Event.BACKEND_LOST, backend=backend.id, kind=loss.kind)
-        if self._losses is not None:
-            self._losses(stream.req, loss)
-
-    def _cancel(self, stream: Stream, backend: BackendSettings, attempt: int) -> None:
-        self._protocol.cancel(backend, stream.generation, attempt)
-
-
-def _is_wanted(item: Token | Finish, first_index: int) -> bool:
-    return isinstance(item, Finish) or item.index >= first_index
+            session.remove_gate(gate)
+        return not session.journalled.superseded
+
+    def _confirm(self, session: Session, gate: threading.Lock) -> None:
+        journalled = session.journalled
+        deadline = self._clock.elapsed_ms() + CONFIRM_TIMEOUT_MS
+        with session.lock:
+            number = self._sender.submit(journalled)
+        while journalled.confirmed < number and not journalled.superseded:
+            left_ms = deadline - self._clock.elapsed_ms()
+            if left_ms <= 0:
+                raise v.Refusal(v.JOURNAL_LOST, v.Verdict.MAY_HAVE_RUN, RETRY_AFTER_MS)
+            gate.acquire(timeout=left_ms / _MS_PER_S)
+
+    def fail(self, session: Session, refusal: v.Refusal) -> None:
+        """End a session for all its readers."""
+        with session.lock:
+            if session.failure is None:
+                session.failure = refusal
+        self.abandon(session)
+        session.wake()
+
+    def abandon(self, session: Session) -> None:
+        """Cancel what a session runs and copy it no more."""
+        with session.lock:
+            attempt = session.attempt
+            if attempt is not None:
+                self._attempts.end(session, attempt, ok=attempt.has_token)
+                self._attempts.cancel(session, attempt)
+            session.stream.fail()
+        self._sender.end(session.journalled)
--- a/packages/kernel/src/nutmegdrum/routing.py
+++ b/packages/kernel/src/nutmegdrum/routing.py
@@ -4,10 +4,10 @@
 import random
 import threading
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import AdapterName, BackendId, ModelName, VersionName, VmId
+from nutmegdrum_coord.ids import BackendId, ModelName, VersionName, VmId
 from nutmegdrum_coord.verdict import NO_BACKEND, OVERLOADED, Reason
 
 from nutmegdrum.backend_state import BackendState
@@ -16,6 +16,7 @@
 from nutmegdrum.plugins import Kind, Registry
 from nutmegdrum.routing_query import Choice, RouteQuery
 from nutmegdrum.settings import BackendSettings, Settings
+from nutmegdrum.slots import SlotEstimate
 from nutmegdrum.trial_share import TrialShare
 from nutmegdrum.view import BackendView, ModelView, TrialView, View
 
@@ -38,9 +39,20 @@
         Source of samples and draws.
     registry : Registry
         Plug-ins; the first balancer among them is used.
+    allows : callable
+        Says whether this VM lets new requests go to a version under trial.
     """
 
-    def __init__(self, cfg: Settings, clock: Clock, rng: random.Random, registry: Registry):
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        rng: random.Random,
+        registry: Registry,
+        allows: Callable[[ModelName, VersionName], bool] = lambda model, version: True,
+    ):
+        self._allows = allows
+        self._leaving: frozenset[BackendId] = frozenset()
         self._clock = clock
         self._rng = rng
         self._vm = cfg.vm.id
@@ -52,6 +64,10 @@
         self._models: dict[ModelName, ModelView] = {}
         self._backends: dict[str, list[BackendView]] = {}
         self._granted_ms = 0
+        self._own = 0
+        self._reported = False
+        self._model_backends: frozenset[BackendId] = frozenset()
+        self._slots = SlotEstimate(len(cfg.entry_vms))
         self._set(_initial_models(cfg), _initial_backends(cfg))
 
     def set_view(self, view: View, received_ms: int) -> None:
@@ -61,9 +77,24 @@
             self._granted_ms = received_ms
 
     def renew_grants(self, received_ms: int) -> None:
-        """Extend the grants of the view in force, which a heartbeat's answer confirmed."""
+        """Extend the grants of the view in force, which a heartbeat's answer confirmed.
+
+        Loads come with these answers only where they changed, so that those known stand as well.
+        """
         with self._lock:
             self._granted_ms = max(self._granted_ms, received_ms)
+            if self._reported:
+                self._slots.on_reports(self._reported_free(), self._clock.elapsed_ms())
+
+    def set_leaving(self, leaving: frozenset[BackendId]) -> None:
+        """Give no new work to `leaving`, in addition to what the view says."""
+        with self._lock:
+            self._leaving = leaving
+
+    def load(self, backend: BackendId) -> float:
+        """Return the estimated work of a backend server as a share of its slots."""
+        with self._lock:
+            return self._states[backend].load()
 
     def choose(self, query: RouteQuery) -> Choice | Reason:
         """Return a backend server and version for the query, or why there is none.
@@ -83,12 +114,14 @@
         with self._lock:
             state = self._states[backend]
             state.in_flight += 1
+            self._count_own(backend, 1)
             state.isolated += isolated
 
     def finished(self, backend: BackendId, ok: bool, isolated: bool = False) -> None:
         """Count an attempt's end; `ok` says that the backend server answered to the end."""
         with self._lock:
             state = self._states[backend]
+            self._count_own(backend, -1)
             state.on_finished(ok)
             state.isolated = max(0, state.isolated - isolated)
 
@@ -101,12 +134,38 @@
         """Take a backend server's load report."""
         with self._lock:
             self._states[backend].on_report(report)
+            self._reported = True
+            self._slots.on_reports(self._reported_free(), self._clock.elapsed_ms())
+
+    def free_slots(self) -> int:
+        """Return the slots at models' backend servers that this VM may fill now."""
+        with self._lock:
+            return self._slots.free(self._own, self._clock.elapsed_ms())
+
+    def _count_own(self, backend: BackendId, change: int) -> None:
+        if backend in self._model_backends:
+            self._own = max(0, self._own + change)
+            self._slots.on_own(self._own, self._clock.elapsed_ms())
+
+    def _reported_free(self) -> int:
+        now_ms = self._clock.elapsed_ms()
+        states = [self._states[backend] for backend in self._model_backends]
+        return sum(s.free_slots() for s in states if not s.suspected(now_ms))
 
     def on_cache_events(self, backend: BackendId, events: Sequence[CacheEvent]) -> None:
         """Take a backend server's cache events."""
         with self._lock:
             self._balancer.on_cache_events(backend, events)
 
+    def used_backends(self) -> list[BackendSettings]:
+        """Return the backend servers whose cache events the balancer wants."""
+        with self._lock:
+            if not self._balancer.wants_cache_events():
+                return []
+            models = {model.service for model in self._models.values()}
+            used = [b for service in models for b in self._backends.get(service, [])[:SUBSET_SIZE]]
+            return [self._settings(backend) for backend in used if not backend.leaving]
+
     def suspected(self) -> list[BackendId]:
         """Return the backend servers that this VM suspects."""
         with self._lock:
@@ -119,6 +178,10 @@
         for backend in sorted(backends, key=lambda b: _rank(self._vm, b.id)):
             grouped[backend.service].append(backend)
         self._backends = dict(grouped)
+        services = {model.service for model in models}
+        self._model_backends = frozenset(
+            b.id for b in backends if b.service in services and not b.leaving
+        )
         trials = {(m.name, m.trial.version) for m in models if m.trial is not None}
         self._shares = {trial: self._shares.get(trial, TrialShare(self._rng)) for trial in trials}
 
@@ -139,7 +202,7 @@
 
     def _granted_trial(self, model: ModelView) -> TrialView | None:
         trial = model.trial
-        if trial is None:
+        if trial is None or not self._allows(model.name, trial.version):
             return None
         expired = self._clock.elapsed_ms() >= self._granted_ms + trial.grant_ms
         return None if expired else trial
@@ -161,15 +224,19 @@
         model = self._models.get(query.model)
         service = model.service if model is not None else query.model
         wanted = LoadedVersion(query.model, version, query.adapter)
-        settled = model is None or version == model.settled
-        return [
-            backend
-            for backend in self._backends.get(service, [])
-            if not backend.leaving
-            and backend.id not in query.excluded
-            and self._states[backend.id].role == SERVING_ROLE
-            and _serves(backend, wanted, settled)
-        ]
+        usable = [b for b in self._backends.get(service, []) if self._usable(b, query)]
+        loaded = [b for b in usable if wanted in b.loaded]
+        if loaded or query.adapter or not (model is None or version == model.settled):
+            return loaded
+        return [b for b in usable if not b.loaded]
+
+    def _usable(self, backend: BackendView, query: RouteQuery) -> bool:
+        return not (
+            backend.leaving
+            or backend.id in self._leaving
+            or backend.id in query.excluded
+            or self._states[backend.id].role != SERVING_ROLE
+        )
 
     def _preferred(self, eligible: list[BackendView]) -> list[BackendView]:
         now_ms = self._clock.elapsed_ms()
@@ -197,12 +264,6 @@
     return hashlib.blake2b(f"{vm}/{backend}".encode(), digest_size=8).digest()
 
 
-def _serves(backend: BackendView, wanted: LoadedVersion, settled: bool) -> bool:
-    if not backend.loaded:
-        return settled and wanted.adapter == AdapterName("")
-    return wanted in backend.loaded
-
-
 def _initial_models(cfg: Settings) -> list[ModelView]:
     return [ModelView(name=m.name, service=m.service, settled=m.version) for m in cfg.models]
 
--- a/packages/kernel/src/nutmegdrum/view.py
+++ b/packages/kernel/src/nutmegdrum/view.py
@@ -83,6 +83,8 @@
     ----------
     generation : int
         Number that rises with each change of the rest.
+    suspects : list of Fingerprint
+        Requests whose next attempt must be isolated.
     """
 
     position: LogPosition
@@ -91,6 +93,7 @@
     models: list[ModelView] = []
     backends: list[BackendView] = []
     quarantines: list[QuarantineView] = []
+    suspects: list[Fingerprint] = []
 
 
 class RouteSample(msgspec.Struct, frozen=True, kw_only=True):
@@ -170,6 +173,17 @@
     trips: list[TrialTrip] = []
 
 
+class BackendLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Load of one backend server, from its newest report."""
+
+    id: BackendId
+    sequence: int
+    running: int
+    queued: int
+    slots: int
+    role: str = "serve"
+
+
 class HeartbeatAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """Answer to a heartbeat.
 
@@ -183,9 +197,12 @@
         New view; None if the reported generation is current.
     shares : dict
         Share of each workspace's limit that this VM may use, in parts per million.
+    loads : list of BackendLoad
+        Loads that changed since the answer before.
     """
 
     fresh: bool
     lease_ms: int
     view: View | None = None
     shares: dict[WorkspaceId, int] = {}
+    loads: list[BackendLoad] = []
--- a/packages/testing/src/nutmegdrum_testing/deployment.py
+++ b/packages/testing/src/nutmegdrum_testing/deployment.py
@@ -17,6 +17,9 @@
 from nutmegdrum_testing.waiting import wait_for
 
 READY_TIMEOUT_S = 30.0
+_TAIL_CHARS = 2_000
+_ANY = ""
+_LEADS = "nutmegdrum_log_leads"
 MODEL_SERVICE = "llm"
 PLAIN_SERVICE = "booking"
 MODEL = "m"
@@ -40,7 +43,12 @@
     states, entries : int
         Daemons of each role; the first `shared` entry daemons hold state too, and count as both.
     peer_links, engine_links : bool
-        Whether each pair of daemons, or of daemon and engine, talks over a link that can be cut.
+        Whether each pair of daemons talks over a link that can be cut, and each backend server
+        is reached by one.
+    workspace_limits : dict
+        Limits of each workspace, in the words of the settings.
+    listed_engines, listed_models : int
+        Further backend servers, which share the engines' addresses, and further models.
     settings : dict
         Settings that replace or extend the generated ones, section by section.
     """
@@ -50,13 +58,16 @@
     shared: int = 0
     engines: int = 2
     plains: int = 0
-    versions: list[str] = ["1"]
-    workspaces: list[str] = ["w1", "w2"]
-    data_centres: list[str] = ["dc-a", "dc-b", "dc-c"]
-    engine_options: list[str] = []
-    plain_options: list[str] = []
-    plugins: list[str] = []
+    versions: tuple[str, ...] = ("1",)
+    workspaces: tuple[str, ...] = ("w1", "w2")
+    workspace_limits: dict[str, int] = {}
+    data_centres: tuple[str, ...] = ("dc-a", "dc-b", "dc-c")
+    engine_options: tuple[str, ...] = ()
+    plain_options: tuple[str, ...] = ()
+    plugins: tuple[str, ...] = ("http_engine", "sequential_judge")
     settings: dict[str, Any] = {}
+    listed_engines: int = 0
+    listed_models: int = 0
     peer_links: bool = False
     engine_links: bool = False
     platform: bool = False
@@ -139,9 +150,13 @@
         url = f"http://{self.address('ops')}{path}"
         return urllib3.request("GET", url, timeout=2.0, retries=False)
 
-    def metrics(self) -> str:
-        """Return the metrics as text."""
-        return self.ops("/metrics").data.decode()
+    def metric(self, name: str) -> float | None:
+        """Return the metric without labels called `name`, or None if there is none."""
+        for line in self.ops("/metrics").data.decode().splitlines():
+            found, _, value = line.rpartition(" ")
+            if found == name:
+                return float(value)
+        return None
 
 
 class Deployment:
@@ -196,6 +211,16 @@
         """Return the fake plain services."""
         return self.backends[self.options.engines :]
 
+    def leader(self) -> Daemon:
+        """Return the state replica that leads, as soon as one does."""
+        return wait_for(self._find_leader, READY_TIMEOUT_S)
+
+    def _find_leader(self) -> Daemon | None:
+        for daemon in self.states:
+            if daemon.running.exit_code is None and daemon.metric(_LEADS) == 1:
+                return daemon
+        return None
+
     def caller(self, workspace: str = "w1") -> Caller:
         """Return a caller of the workspace."""
         addresses = [daemon.address("callers") for daemon in self.entries]
@@ -207,9 +232,16 @@
         return BookingCaller(addresses, key_of(workspace), pool=self.pool)
 
     def link(self, source: str, target: str) -> Link:
-        """Return the link that carries what `source` sends to `target` (VM or backend ids)."""
+        """Return the link that carries what `source` sends to `target`, both VMs."""
         return self.links[(source, target)]
 
+    def engine_link(self, backend: str) -> Link:
+        """Return the link that carries what all daemons send to a backend server.
+
+        There is one for each, since entry VMs learn the addresses from the state leader.
+        """
+        return self.links[(_ANY, backend)]
+
     def daemon(self, vm: str) -> Daemon:
         """Return the daemon of a VM."""
         return next(daemon for daemon in self.daemons if daemon.vm == vm)
@@ -222,7 +254,11 @@
     def wait_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
         """Wait until every daemon is ready."""
         for daemon in self.daemons:
-            wait_for(daemon.is_ready, timeout_s)
+            try:
+                wait_for(daemon.is_ready, timeout_s)
+            except TimeoutError:
+                tail = daemon.running.output()[-_TAIL_CHARS:]
+                raise TimeoutError(f"{daemon.vm} is not ready:\n{tail}") from None
 
     def close(self) -> None:
         """End all processes and remove the files."""
@@ -296,7 +332,8 @@
             "state_replicas": [peers[name] for name in kinds if "state" in kinds[name]],
             "entry_vms": [peers[name] for name in kinds if "entry" in kinds[name]],
             "workspaces": [
-                {"id": name, "key_sha256": key_digest(name)} for name in options.workspaces
+                {"id": name, "key_sha256": key_digest(name), **options.workspace_limits}
+                for name in options.workspaces
             ],
             "services": [
                 {"name": MODEL_SERVICE, "kind": "model"},
@@ -310,7 +347,7 @@
                     "methods": {"GET": "idempotent", "POST": "non-idempotent"},
                 }
             ],
-            "backend_servers": [self._backend(vm, i) for i in range(len(self.backends))],
+            "backend_servers": self._backend_servers(),
             "plugins": options.plugins,
         }
         if "state" in kinds[vm]:
@@ -331,11 +368,19 @@
             found["operators"] = listen["operators"]
         return found
 
-    def _backend(self, vm: str, index: int) -> dict[str, Any]:
+    def _backend_servers(self) -> list[dict[str, Any]]:
+        servers = [self._backend(i) for i in range(len(self.backends))]
+        listed = [
+            self._backend(i % self.options.engines) | {"id": f"listed-{i}"}
+            for i in range(self.options.listed_engines)
+        ]
+        return servers + listed
+
+    def _backend(self, index: int) -> dict[str, Any]:
         backend = self.backends[index]
         address = backend.address
         if self.options.engine_links:
-            address = self._link(vm, backend.id, address).address
+            address = self._link(_ANY, backend.id, address).address
         is_engine = index < self.options.engines
         return {
             "id": backend.id,
