Keep counts of what callers got in the log, for reports

Cause: reports said nothing of resume latency, recovery cost and refusals. Stops of trials that a lost heartbeat carried are sent again. Ruled out: counts a heartbeat, which are lost or doubled with it; histograms of full width. Conclusion: a report for a note, a quarter or a workspace shows them.

--- a/packages/kernel/src/nutmegdrum/attempts.py
+++ b/packages/kernel/src/nutmegdrum/attempts.py
@@ -193,7 +193,11 @@
     def _count_recovery(self, session: Session, waited_ms: int) -> None:
         metrics.RESUME_S.observe(waited_ms / _MS_PER_S)
         self._registry.send(
-            Event.STREAM_RECOVERED, generation=session.generation, waited_ms=waited_ms
+            Event.STREAM_RECOVERED,
+            generation=session.generation,
+            workspace=session.stream.req.workspace,
+            waited_ms=waited_ms,
+            prefilled=len(session.stream.tokens),
         )
 
     def on_idle(self, key: tuple[Session, Attempt], now_ms: ElapsedMs) -> None:
--- a/packages/kernel/src/nutmegdrum/completion_path.py
+++ b/packages/kernel/src/nutmegdrum/completion_path.py
@@ -12,6 +12,7 @@
 from nutmegdrum.generations import Answer, Generations
 from nutmegdrum.messages import Finish
 from nutmegdrum.problems import problem_of
+from nutmegdrum.service_tally import ServiceTally
 from nutmegdrum.session import ReadBatch
 from nutmegdrum.settings import WorkspaceSettings
 from nutmegdrum.wsgi import Response, StartResponse, status_line
@@ -26,11 +27,14 @@
     ----------
     rng : random.Random
         Source of the seeds that callers do not give.
+    tally : ServiceTally
+        Counts of what callers got.
     """
 
-    def __init__(self, generations: Generations, rng: random.Random):
+    def __init__(self, generations: Generations, rng: random.Random, tally: ServiceTally):
         self._generations = generations
         self._rng = rng
+        self._tally = tally
 
     def answer(
         self,
@@ -52,7 +56,7 @@
         req = generation_request(parsed, workspace.id, key, chat, self._rng)
         answer = self._generations.start(workspace, req, headers.get("last-event-id", ""))
         if not parsed.stream:
-            return _whole(answer).send(start_response)
+            return self._whole(answer).send(start_response)
         first = next(answer.items)
         start_response(
             status_line(200),
@@ -62,7 +66,7 @@
                 (GENERATION_HEADER, answer.generation),
             ],
         )
-        return _events(answer, first)
+        return self._events(answer, first)
 
     def cancel(self, workspace: WorkspaceSettings, name: str) -> None:
         """Cancel the generation with the id `name`, or with an event's id that starts with it.
@@ -75,31 +79,32 @@
         generation = GenerationId(name.partition(".")[0])
         self._generations.cancel(workspace.id, generation)
 
-
-def _events(answer: Answer, first: ReadBatch) -> Iterator[bytes]:
-    req = answer.request
-    encoder = sse.EventEncoder(answer.generation, req.model, req.chat)
-    try:
-        yield encoder.batch(first)
+    def _events(self, answer: Answer, first: ReadBatch) -> Iterator[bytes]:
+        req = answer.request
+        encoder = sse.EventEncoder(answer.generation, req.model, req.chat)
+        try:
+            yield encoder.batch(first)
+            for part in answer.items:
+                yield encoder.batch(part)
+            self._tally.finished(req.workspace)
+            yield sse.DONE
+        except v.Refusal as refusal:
+            count_refusal(refusal)
+            self._tally.refused(req.workspace, refusal.verdict)
+            yield encoder.failure(problem_of(refusal))
+        finally:
+            answer.items.close()
+
+    def _whole(self, answer: Answer) -> Response:
+        texts: list[str] = []
         for part in answer.items:
-            yield encoder.batch(part)
-        yield sse.DONE
-    except v.Refusal as refusal:
-        count_refusal(refusal)
-        yield encoder.failure(problem_of(refusal))
-    finally:
-        answer.items.close()
-
-
-def _whole(answer: Answer) -> Response:
-    texts: list[str] = []
-    for part in answer.items:
-        finish = _collect(part, texts)
-        if finish is not None:
-            whole = whole_answer(answer.generation, answer.request, texts, finish)
-            headers = [(GENERATION_HEADER, str(answer.generation))]
-            return Response(200, msgspec.json.encode(whole), headers)
-    raise v.Refusal(v.BACKEND_LOST, v.Verdict.MAY_HAVE_RUN)
+            finish = _collect(part, texts)
+            if finish is not None:
+                whole = whole_answer(answer.generation, answer.request, texts, finish)
+                headers = [(GENERATION_HEADER, str(answer.generation))]
+                self._tally.finished(answer.request.workspace)
+                return Response(200, msgspec.json.encode(whole), headers)
+        raise v.Refusal(v.BACKEND_LOST, v.Verdict.MAY_HAVE_RUN)
 
 
 def _collect(part: ReadBatch, texts: list[str]) -> Finish | None:
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -15,9 +15,10 @@
 from nutmegdrum.guarded_routing import GuardedRouting
 from nutmegdrum.heartbeat import Heartbeater, PeerViews
 from nutmegdrum.plain import PlainPath
-from nutmegdrum.plugins import Kind, Registry
+from nutmegdrum.plugins import Event, Kind, Registry
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import RpcClient
+from nutmegdrum.service_tally import ServiceTally
 from nutmegdrum.settings import Settings
 from nutmegdrum.state_client import StateClient
 from nutmegdrum.streaming import Streaming
@@ -57,6 +58,8 @@
         self.registry = registry
         protocol = registry.get(Kind.BACKEND_PROTOCOL, BACKEND_PROTOCOL)
         self.watch = VersionWatch(clock)
+        self.tally = ServiceTally()
+        registry.listen(Event.STREAM_RECOVERED, self.tally.on_recovered)
         self.router = Router(cfg, clock, rng, registry, self.watch.allows)
         self.admission = Admission(cfg)
         self.state = StateClient(rpc, cfg.state_replicas)
@@ -80,7 +83,15 @@
         self.plain = PlainPath(cfg, clock, routing, self.guard, claims)
         peers = PeerViews(cfg, rpc, rng, cfg.entry_vms)
         self.heartbeater = Heartbeater(
-            cfg, clock, self.state, self.router, self.guard, self.watch, peers, incarnation
+            cfg,
+            clock,
+            self.state,
+            self.router,
+            self.guard,
+            self.watch,
+            self.tally,
+            peers,
+            incarnation,
         )
         self.gossip = self.heartbeater.gossip
         self._ticker = Ticker("heartbeat", cfg.control.heartbeat, self.heartbeater.beat)
--- a/packages/kernel/src/nutmegdrum/gateway.py
+++ b/packages/kernel/src/nutmegdrum/gateway.py
@@ -39,7 +39,7 @@
     def __init__(self, entry: EntryRole):
         self._entry = entry
         self._workspaces = Workspaces(entry.cfg.workspaces)
-        self._completions = CompletionPath(entry.generations, entry.rng)
+        self._completions = CompletionPath(entry.generations, entry.rng, entry.tally)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request; every refusal becomes a problem document."""
@@ -51,6 +51,19 @@
     def _answer(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         headers = request_headers(environ)
         workspace = self._workspaces.authenticate(headers.get("authorization", ""))
+        try:
+            return self._serve(workspace, headers, environ, start_response)
+        except v.Refusal as refusal:
+            self._entry.tally.refused(workspace.id, refusal.verdict)
+            raise
+
+    def _serve(
+        self,
+        workspace: WorkspaceSettings,
+        headers: dict[str, str],
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
         if path in _COMPLETION_PATHS and method == "POST":
@@ -74,6 +87,7 @@
         reply = self._entry.plain.handle(
             workspace.id, route, environ["REQUEST_METHOD"], target, headers, read_body(environ)
         )
+        self._entry.tally.finished(workspace.id)
         return Response(reply.status, reply.body, list(reply.headers.items()))
 
 
--- a/packages/kernel/src/nutmegdrum/heartbeat.py
+++ b/packages/kernel/src/nutmegdrum/heartbeat.py
@@ -19,10 +19,11 @@
 from nutmegdrum.platform import PlatformClient
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import PeerUnreachable, RpcClient
+from nutmegdrum.service_tally import ServiceTally
 from nutmegdrum.settings import PeerSettings, Settings
 from nutmegdrum.state_client import StateClient
 from nutmegdrum.version_watch import VersionWatch
-from nutmegdrum.view import BackendLoad, HeartbeatAnswer, HeartbeatReport, View
+from nutmegdrum.view import BackendLoad, HeartbeatAnswer, HeartbeatReport, TrialTrip, View
 
 PEER_TIMEOUT_MS = 500
 
@@ -90,6 +91,7 @@
         router: Router,
         guard: CrashGuard,
         watch: VersionWatch,
+        tally: ServiceTally,
         peers: PeerViews,
         incarnation: IncarnationId,
     ):
@@ -99,6 +101,8 @@
         self._router = router
         self._guard = guard
         self._watch = watch
+        self._tally = tally
+        self._unsent_trips: list[TrialTrip] = []
         self._peers = peers
         self._incarnation = incarnation
         self._platform = PlatformClient(cfg.platform)
@@ -120,12 +124,15 @@
     def beat(self) -> None:
         """Send one heartbeat and take its answer."""
         sent_ms = self._clock.elapsed_ms()
+        report = self._report()
         try:
-            answer = self._state.heartbeat(self._report(), int(self._cfg.control.freshness_lease))
+            answer = self._state.heartbeat(report, int(self._cfg.control.freshness_lease))
         except PeerUnreachable:
             metrics.HEARTBEATS.labels("lost").inc()
+            self._unsent_trips = report.trips
             self._ask_peer(sent_ms)
         else:
+            self._unsent_trips = [] if answer.fresh else report.trips
             metrics.HEARTBEATS.labels("fresh" if answer.fresh else "stale").inc()
             self._take(answer, sent_ms)
         self._check_freshness()
@@ -141,8 +148,9 @@
             ready=view is not None,
             suspected=self._router.suspected(),
             samples=watched.samples,
-            trips=watched.trips,
+            trips=[*self._unsent_trips, *watched.trips],
             running=watched.running,
+            service=self._tally.totals(),
         )
 
     def _take(self, answer: HeartbeatAnswer, sent_ms: ElapsedMs) -> None:
--- a/packages/kernel/src/nutmegdrum/leader.py
+++ b/packages/kernel/src/nutmegdrum/leader.py
@@ -27,6 +27,7 @@
 from nutmegdrum.releases import AdvanceMove, PredictLate, Releases
 from nutmegdrum.reports import Observed
 from nutmegdrum.schedule import Times, Weights, load_time_ms, loads_up_to, predicted_late
+from nutmegdrum.service_log import ServiceRecorder, VmService
 from nutmegdrum.settings import Settings
 from nutmegdrum.trials import Trials
 from nutmegdrum.view import HeartbeatAnswer, HeartbeatReport, QuarantineView, View
@@ -94,6 +95,7 @@
         self._numbering = ViewNumbering(fencing)
         self._weights: dict[tuple[ModelName, VersionName], Weights | None] = {}
         self._urgent: list[Command] = []
+        self._recorder = ServiceRecorder(now_ms)
         self.fleet = Fleet(cfg.backend_servers)
         self.entries = {peer.vm: EntryObserved() for peer in cfg.entry_vms}
         self._trials = Trials(self._releases, judges, cfg.moves)
@@ -123,6 +125,9 @@
             Whether this leader's lease is valid now.
         """
         self.entries.setdefault(report.vm, EntryObserved()).take(now_ms, report)
+        self._recorder.take(
+            VmService(vm=report.vm, incarnation=report.incarnation, counts=report.service)
+        )
         for sample in report.samples:
             self._trials.on_sample(now_ms, sample)
         for backend in report.suspected:
@@ -182,6 +187,8 @@
         self._spare.update(now_ms, self.fleet)
         placement = Placement(self._releases, self.fleet, now_ms)
         commands: list[Command] = [proposal.command for proposal in self.take_urgent()]
+        recording = self._recorder.due(now_ms)
+        commands += [] if recording is None else [recording]
         commands += self._advance_moves(now_ms, times)
         closes, sends = self._desk.tick(now_ms)
         commands += closes
--- a/packages/kernel/src/nutmegdrum/queries.py
+++ b/packages/kernel/src/nutmegdrum/queries.py
@@ -120,6 +120,28 @@
     why: str
 
 
+class ServiceReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What callers of one workspace got.
+
+    Attributes
+    ----------
+    refused : dict
+        Refusals by verdict.
+    resume_p50_ms, resume_p99_ms : int or None
+        Upper bounds in ms of the classes that hold these percentiles of resume latency.
+    prefilled : int
+        Tokens that engines computed again for resumed streams: the cost of recovery.
+    """
+
+    workspace: WorkspaceId
+    finished: int
+    refused: dict[str, int]
+    resumed: int
+    resume_p50_ms: int | None
+    resume_p99_ms: int | None
+    prefilled: int
+
+
 class ReportAnswer(QueryAnswer, frozen=True, kw_only=True):
     """Whether targets held.
 
@@ -137,6 +159,7 @@
     taken_back: int
     moves: list[MoveReport]
     unacknowledged: list[Unacknowledged]
+    service: list[ServiceReport]
 
 
 class AuditAnswer(QueryAnswer, frozen=True, kw_only=True):
--- a/packages/kernel/src/nutmegdrum/reports.py
+++ b/packages/kernel/src/nutmegdrum/reports.py
@@ -10,6 +10,7 @@
 from nutmegdrum.observed import EntryObserved
 from nutmegdrum.orders import Orders, describe, format_version
 from nutmegdrum.releases import NoteRecord, Releases
+from nutmegdrum.service_log import ServiceLog
 
 
 class Observed:
@@ -48,7 +49,7 @@
     if isinstance(query, q.NoteHistory):
         return q.NoteList(notes=[_summary(record) for record in releases.notes.values()])
     if isinstance(query, q.Report):
-        return _report(releases, observed, query)
+        return _report(state, releases, observed, query)
     if isinstance(query, q.AuditQuery):
         return _audit(state, query)
     if isinstance(query, q.VmsQuery):
@@ -73,7 +74,9 @@
     )
 
 
-def _report(releases: Releases, observed: Observed, query: q.Report) -> q.ReportAnswer:
+def _report(
+    state: PartedState, releases: Releases, observed: Observed, query: q.Report
+) -> q.ReportAnswer:
     moves = [move for move in releases.moves.values() if _matches(move, query)]
     done = [move for move in moves if move.completed is not None]
     unfinished = [move for move in moves if not move.terminal and move.completed is None]
@@ -87,9 +90,31 @@
         taken_back=sum(move.state is MoveState.TAKEN_BACK for move in moves),
         moves=[report_move(move, wall_ms) for move in moves],
         unacknowledged=unacknowledged(releases, observed),
+        service=_service(state, releases, query),
     )
 
 
+def _service(state: PartedState, releases: Releases, query: q.Report) -> list[q.ServiceReport]:
+    log: ServiceLog = state.parts[ServiceLog.name]
+    since_ms = query.since_ms
+    record = None if query.note is None else releases.notes.get(query.note)
+    if record is not None and since_ms is None:
+        since_ms = record.accepted
+    totals = log.between(since_ms, query.until_ms, query.workspace)
+    return [
+        q.ServiceReport(
+            workspace=name,
+            finished=counts.finished,
+            refused={verdict.value: count for verdict, count in counts.refused.items()},
+            resumed=sum(counts.resume_classes),
+            resume_p50_ms=counts.resume_percentile_ms(50),
+            resume_p99_ms=counts.resume_percentile_ms(99),
+            prefilled=counts.prefilled,
+        )
+        for name, counts in sorted(totals.items())
+    ]
+
+
 def _matches(move: Move, query: q.Report) -> bool:
     if query.note is not None and move.note != query.note:
         return False
--- a/packages/kernel/src/nutmegdrum/state_daemon.py
+++ b/packages/kernel/src/nutmegdrum/state_daemon.py
@@ -19,6 +19,7 @@
 from nutmegdrum.releases import Releases, SubmitNote
 from nutmegdrum.reports import answer_query
 from nutmegdrum.rpc import RpcClient
+from nutmegdrum.service_log import ServiceLog
 from nutmegdrum.settings import ServiceKind, Settings
 from nutmegdrum.shared_state import SharedState
 from nutmegdrum.state_client import RETRY_AFTER_NO_QUORUM_MS
@@ -55,7 +56,7 @@
     """Return an empty replicated state with all parts."""
     plain = [service.name for service in cfg.services if service.kind is ServiceKind.PLAIN]
     claims = Claims(cfg.claims.retention, cfg.claims.max_per_workspace)
-    return PartedState([Releases(cfg.models, plain), Orders(), claims, Quarantine()])
+    return PartedState([Releases(cfg.models, plain), Orders(), claims, Quarantine(), ServiceLog()])
 
 
 class StateRole:
--- a/packages/kernel/src/nutmegdrum/view.py
+++ b/packages/kernel/src/nutmegdrum/view.py
@@ -18,6 +18,7 @@
 )
 
 from nutmegdrum.messages import LoadedVersion
+from nutmegdrum.service_tally import ServiceCounts
 from nutmegdrum.units import Address
 
 PPM = 1_000_000
@@ -156,6 +157,8 @@
         Requests whose isolated attempt crashed a backend server.
     running : list of VersionUse or None
         Requests running here by version; None if this VM does not count them.
+    service : dict
+        Counts of what callers got, since this start of the daemon.
     trips : list of TrialTrip
         Trials that this VM stopped since the last report.
     """
@@ -170,6 +173,7 @@
     samples: list[RouteSample] = []
     use: list[WorkspaceUse] = []
     running: list[VersionUse] | None = None
+    service: dict[WorkspaceId, ServiceCounts] = {}
     trips: list[TrialTrip] = []
 
 
