--- a/packages/kernel/src/nutmegdrum/follower.py
+++ b/packages/kernel/src/nutmegdrum/follower.py
@@ -84,14 +84,17 @@
 def _common(
     copies: list[StreamCopy], newest: StreamCopy, lineage: list[EpochStart], position: Position
 ) -> Batch:
-    """Return what all copies of the newest owner have from `position` on."""
+    """Return what all copies of the newest owner have from `position` on.
+
+    VMs that only know the key have a copy without tokens, which does not count.
+    """
     if newest.finish_reason == CANCELLED:
         raise v.Refusal(v.CANCELLED, v.Verdict.MAY_HAVE_RUN)
     if not covers(lineage, len(newest.tokens), position):
         raise v.Refusal(v.JOURNAL_LOST, v.Verdict.MAY_HAVE_RUN, RETRY_AFTER_MS)
     epoch = lineage[-1].epoch
     held = [copy for copy in copies if decode_head(copy.request).lineage[-1].epoch == epoch]
-    length = min(len(copy.tokens) for copy in held)
+    length = min((len(copy.tokens) for copy in held if copy.tokens), default=0)
     texts = newest.tokens[position.next_index : length]
     batch: Batch = [Token(i, text) for i, text in enumerate(texts, position.next_index)]
     finish = finish_of(newest.finish_reason, len(newest.tokens))
