--- a/packages/testing/src/nutmegdrum_testing/bench/claims.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/claims.py
@@ -12,11 +12,14 @@
 from nutmegdrum_testing.callers import BookingCaller, CallResult
 from nutmegdrum_testing.control import Control
 from nutmegdrum_testing.deployment import Deployment
+from nutmegdrum_testing.procstat import usage
 
 CALLER_COUNTS = (1, 8, 32)
 SYNCS = 200
 
 _MS_PER_S = 1_000
+_US_PER_S = 1_000_000
+_SYNCS = "nutmegdrum_log_syncs_total"
 
 
 def measure(sizes: Sizes) -> Iterator[Figure]:
@@ -51,9 +54,20 @@
 
 def _through(deployment: Deployment, callers: int, calls: int) -> Iterator[Figure]:
     caller = deployment.booking_caller()
+    leader = deployment.leader()
+    spenders = {"leader": leader, "follower": deployment.follower()}
+    before = {role: usage(daemon.pid).cpu_s for role, daemon in spenders.items()}
+    synced = leader.metric(_SYNCS) or 0.0
     yield from _run(
         f"claimed calls, {callers} callers", caller, callers, calls, len(caller.addresses)
     )
+    count = callers * calls
+    for role, daemon in spenders.items():
+        spent_us = (usage(daemon.pid).cpu_s - before[role]) * _US_PER_S / count
+        name = f"processor time of {role} a call, {callers} callers"
+        yield Figure(name=name, value=spent_us, unit="µs", samples=count)
+    syncs = ((leader.metric(_SYNCS) or 0.0) - synced) / count
+    yield Figure(name=f"syncs of leader a call, {callers} callers", value=syncs, unit="syncs")
 
 
 def _direct(deployment: Deployment, callers: int, calls: int) -> Iterator[Figure]:
--- a/packages/testing/src/nutmegdrum_testing/bench/control_cost.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/control_cost.py
@@ -15,6 +15,7 @@
 NODES = (0, 50, 150, 370)
 REPLICAS = (0, 100, 300, 600)
 WORKSPACES = (10, 1_000, 3_300)
+ENTRIES = (7, 100, 370)
 FEW_REPLICAS = 12
 TARGET_REPLICAS = 600
 TARGET_MODELS = 25
@@ -40,6 +41,7 @@
     yield from _against_nodes(FEW_REPLICAS, NODES, seconds)
     yield from _against_nodes(TARGET_REPLICAS, NODES, seconds)
     yield from _against_workspaces(seconds)
+    yield from _against_entries(seconds)
 
 
 def _against_replicas(seconds: float) -> Iterator[Figure]:
@@ -66,6 +68,18 @@
     yield from _slopes("entry VM", "workspace", spent)
 
 
+def _against_entries(seconds: float) -> Iterator[Figure]:
+    spent = {}
+    for count in ENTRIES:
+        options = _options(0)
+        options.entries = 2
+        options.listed_entries = count - options.entries
+        with Deployment(options) as deployment:
+            time.sleep(_WARM_S)
+            spent[count] = _spend(deployment, deployment.entries[:1], seconds)[0]
+    yield from _slopes("entry VM", "listed entry VM", spent)
+
+
 def _against_nodes(replicas: int, nodes: Sequence[int], seconds: float) -> Iterator[Figure]:
     spent: dict[int, _Spent] = {}
     role = f"leader of {replicas} replicas"
@@ -105,9 +119,11 @@
 
 
 def _roles(deployment: Deployment) -> dict[str, Daemon]:
-    leader = deployment.leader()
-    follower = next(state for state in deployment.states if state is not leader)
-    return {"leader": leader, "follower": follower, "entry VM": deployment.entries[0]}
+    return {
+        "leader": deployment.leader(),
+        "follower": deployment.follower(),
+        "entry VM": deployment.entries[0],
+    }
 
 
 def _spend(deployment: Deployment, daemons: Sequence[Daemon], seconds: float) -> list[_Spent]:
--- a/packages/testing/src/nutmegdrum_testing/bench/notes.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/notes.py
@@ -32,16 +32,11 @@
 _CUTS: dict[str, Callable[[Deployment], list[Daemon]]] = {
     "all connected": lambda deployment: [],
     "an entry VM cut off": lambda deployment: deployment.entries[-1:],
-    "a follower cut off": lambda deployment: [_follower(deployment)],
+    "a follower cut off": lambda deployment: [deployment.follower()],
     "the leader cut off": lambda deployment: [deployment.leader()],
 }
 
 
-def _follower(deployment: Deployment) -> Daemon:
-    leader = deployment.leader()
-    return next(daemon for daemon in deployment.states if daemon is not leader)
-
-
 def measure(sizes: Sizes) -> Iterator[Figure]:
     """Yield the times with all VMs connected, and with an entry VM or a state replica cut off."""
     options = Options(entries=ENTRIES, states=STATES, peer_links=True)
--- a/packages/testing/src/nutmegdrum_testing/bench/state_cost.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/state_cost.py
@@ -16,6 +16,8 @@
 from nutmegdrum_testing.bench.figures import Figure, Sizes
 from nutmegdrum_testing.bench.leader_cost import sized_settings
 
+NOTES = (100, 400, 1_600)
+
 _US_PER_S = 1_000_000
 _WORKSPACES = 100
 _SERVICE_REPLICAS = 12
@@ -24,7 +26,8 @@
 def measure(sizes: Sizes) -> Iterator[Figure]:
     """Yield what a finished claim and an accepted release note cost."""
     yield from _cost("claim", _claim_commands, sizes.pick(20_000, 2_000))
-    yield from _cost("release note", _note_commands, sizes.pick(2_000, 200))
+    for count in NOTES[: sizes.pick(len(NOTES), 1)]:
+        yield from _cost(f"release note, {count} in all", _note_commands, count)
 
 
 def _cost(what: str, commands_of: Callable[[int], Iterator[bytes]], count: int) -> Iterator[Figure]:
--- a/packages/testing/src/nutmegdrum_testing/deployment.py
+++ b/packages/testing/src/nutmegdrum_testing/deployment.py
@@ -47,8 +47,9 @@
         is reached by one.
     workspace_limits : dict
         Limits of each workspace, in the words of the settings.
-    listed_engines, listed_models : int
-        Further backend servers, which share the engines' addresses, and further models.
+    listed_engines, listed_models, listed_entries : int
+        Further backend servers, which share the engines' addresses, further models, and further
+        entry VMs, which share the last entry daemon's address.
     settings : dict
         Settings that replace or extend the generated ones, section by section.
     """
@@ -68,6 +69,7 @@
     settings: dict[str, Any] = {}
     listed_engines: int = 0
     listed_models: int = 0
+    listed_entries: int = 0
     peer_links: bool = False
     engine_links: bool = False
     platform: bool = False
@@ -215,6 +217,11 @@
         """Return the state replica that leads, as soon as one does."""
         return wait_for(self._find_leader, READY_TIMEOUT_S)
 
+    def follower(self) -> Daemon:
+        """Return a state replica that does not lead."""
+        leader = self.leader()
+        return next(daemon for daemon in self.states if daemon is not leader)
+
     def _find_leader(self) -> Daemon | None:
         for daemon in self.states:
             if daemon.running.exit_code is None and daemon.metric(_LEADS) == 1:
@@ -330,7 +337,7 @@
             "roles": kinds[vm],
             "listen": listens[vm],
             "state_replicas": [peers[name] for name in kinds if "state" in kinds[name]],
-            "entry_vms": [peers[name] for name in kinds if "entry" in kinds[name]],
+            "entry_vms": self._entry_vms([peers[n] for n in kinds if "entry" in kinds[n]]),
             "workspaces": [
                 {"id": name, "key_sha256": key_digest(name), **options.workspace_limits}
                 for name in options.workspaces
@@ -356,6 +363,13 @@
             cfg["platform"] = {"live_list": self.platform_address, "poll": "200ms"}
         return merge(cfg, options.settings)
 
+    def _entry_vms(self, peers: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        listed = [
+            peers[-1] | {"vm": f"listed-{i}", "data_centre": self._data_centre(i)}
+            for i in range(self.options.listed_entries)
+        ]
+        return peers + listed
+
     def _data_centre(self, index: int) -> str:
         return self.options.data_centres[index % len(self.options.data_centres)]
 
