--- a/packages/testing/src/nutmegdrum_testing/bench/__main__.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/__main__.py
@@ -20,6 +20,7 @@
     "overhead": "first token, token gap, processor time and memory against direct",
     "claims": "non-idempotent calls a second",
     "goodput": "whole answers under 0.5x to 4x load",
+    "overload_table": "admission under overload in model time",
     "notes": "release note from submission to in force",
     "leader_cost": "processor time and bytes of views and decisions against sizes",
     "state_cost": "memory, bytes and processor time of claims and release notes",
--- a/packages/testing/src/nutmegdrum_testing/bench/leader_cost.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/leader_cost.py
@@ -7,13 +7,14 @@
 
 import msgspec
 from nutmegdrum.leader import Leader
+from nutmegdrum.load_digest import LoadDigest
 from nutmegdrum.messages import LoadedVersion, LoadReport
 from nutmegdrum.packing import pack, unpack
 from nutmegdrum.plugins import Kind, load_plugins
 from nutmegdrum.routing import Router
 from nutmegdrum.settings import Settings, parse_settings
 from nutmegdrum.state_daemon import replicated_state
-from nutmegdrum.view import HeartbeatReport, View
+from nutmegdrum.view import BackendLoad, HeartbeatAnswer, HeartbeatReport, View
 from nutmegdrum_coord.clock import ElapsedMs, LogMs, ManualClock, WallMs
 from nutmegdrum_coord.ids import FencingNumber
 
@@ -32,6 +33,7 @@
     heartbeat_us: float
     tick_us: float
     view_bytes: int
+    loads_bytes: int
     encode_us: float
     decode_us: float
     set_view_us: float
@@ -43,7 +45,7 @@
     by_replicas = {n: _cost(n, TARGET_MODELS, repeats, sizes.seed) for n in REPLICAS}
     by_models = {n: _cost(TARGET_REPLICAS, n, repeats, sizes.seed) for n in MODELS}
     for field in _Cost._fields:
-        unit = "B" if field == "view_bytes" else "µs"
+        unit = "B" if field.endswith("_bytes") else "µs"
         for what, costs in (("replica", by_replicas), ("model", by_models)):
             points = [(n, getattr(cost, field)) for n, cost in costs.items()]
             base, rise = slope(points)
@@ -103,12 +105,14 @@
         vm="n1", incarnation="i", generation=view.generation, note=0, ready=True
     )
     encoded = pack(view)
+    loads = _changed_loads(cfg)
     router = Router(cfg, clock, random.Random(seed), registry)
     now = clock.elapsed_ms()
     return _Cost(
         heartbeat_us=_time_us(lambda: leader.on_heartbeat(now, report), repeats),
         tick_us=_time_us(lambda: leader.tick(now, LogMs(now), WallMs(now)), repeats),
         view_bytes=len(encoded),
+        loads_bytes=len(pack(HeartbeatAnswer(fresh=True, lease_ms=1, loads=loads))),
         encode_us=_time_us(lambda: pack(view), repeats),
         decode_us=_time_us(lambda: unpack(encoded, View), repeats),
         set_view_us=_time_us(lambda: router.set_view(view, now), repeats),
@@ -122,6 +126,14 @@
         leader.on_load_report(ElapsedMs(1_000), backend.id, report)
 
 
+def _changed_loads(cfg: Settings) -> list[BackendLoad]:
+    digest = LoadDigest()
+    for index, backend in enumerate(cfg.backend_servers):
+        report = LoadReport(sequence=100_000, running=index % 8, queued=0, slots=16)
+        digest.on_report(backend.id, report)
+    return digest.since_last(cfg.vm.id)
+
+
 def _time_us(call: Callable[[], object], repeats: int) -> float:
     call()
     began = time.process_time()
