--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -21,6 +21,7 @@
 from nutmegdrum.retries import RetryBudget
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import RpcClient
+from nutmegdrum.service_tally import ServiceTally
 from nutmegdrum.settings import Settings
 from nutmegdrum.shutdown import Shutdown
 from nutmegdrum.shutdown_gate import ShutdownGate
@@ -62,6 +63,8 @@
         self.registry = registry
         protocol = registry.get(Kind.BACKEND_PROTOCOL, BACKEND_PROTOCOL)
         self.watch = VersionWatch(clock)
+        self.tally = ServiceTally()
+        registry.listen(Event.STREAM_RECOVERED, self.tally.on_recovered)
         self.router = Router(cfg, clock, rng, registry, self.watch.allows)
         control = new_control(cfg, registry, self.router.free_slots, clock.elapsed_ms())
         self.admission = Admission(control, clock)
@@ -95,6 +98,7 @@
             self.admission,
             self.guard,
             self.watch,
+            self.tally,
             peers,
             incarnation,
         )
--- a/packages/testing/src/nutmegdrum_testing/bench/__main__.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/__main__.py
@@ -21,7 +21,7 @@
     "claims": "non-idempotent calls a second",
     "claim_log": "claims a second that the state replicas commit",
     "goodput": "whole answers under 0.5x to 4x load",
-    "overload": "admission under 0.5x to 4x load in model time",
+    "overload_table": "admission under overload in model time",
     "notes": "release note from submission to in force",
     "leader_cost": "processor time and bytes of views and decisions against sizes",
     "state_cost": "memory, bytes and processor time of claims and release notes",
