Tell without a quorum what the reachable replicas know of a key; probe before suspecting

Left: a lagging replica, and an earlier send still on its way. A reset is a crash only if the backend server then refuses connections: bookings of equal text became suspects of each other when their service broke off calls.

--- a/packages/coord/src/nutmegdrum_coord/claims.py
+++ b/packages/coord/src/nutmegdrum_coord/claims.py
@@ -8,7 +8,7 @@
 
 from nutmegdrum_coord.clock import LogMs
 from nutmegdrum_coord.ids import IdempotencyKey, IncarnationId, RouteName, VmId, WorkspaceId
-from nutmegdrum_coord.parts import Answer, Command, Context
+from nutmegdrum_coord.parts import Answer, Command, Context, Envelope
 
 DEFAULT_RETENTION_MS = 21_600_000
 DEFAULT_MAX_PER_WORKSPACE = 20_000
@@ -107,6 +107,7 @@
 
     owner: VmId
     incarnation: IncarnationId
+    token: str
 
 
 class ClaimFinished(Answer):
@@ -207,6 +208,20 @@
             return self._finish(command)
         return self._release(ctx.at, command)
 
+    def look_up(self, key: ClaimKey, digest: bytes) -> ClaimAnswer:
+        """Return what is known here of a request, without asking for its claim.
+
+        A replica that does not lead may lag, so that `ClaimUnknown` is no proof by itself.
+        """
+        claim = self._claims.get(key)
+        if claim is None or claim.state is ClaimState.RELEASED:
+            return ClaimUnknown()
+        if claim.digest != digest:
+            return ClaimConflict()
+        if claim.state is not ClaimState.RUNNING:
+            return _ended(claim)
+        return _running(claim)
+
     def snapshot(self) -> list[_Claim]:
         """Return all claims, oldest first."""
         return list(self._claims.values())
@@ -232,7 +247,7 @@
             return _ended(claim)
         if claim.token == command.token:
             return ClaimGranted()
-        return ClaimRunning(owner=claim.owner, incarnation=claim.incarnation)
+        return _running(claim)
 
     def _grant(self, at: LogMs, command: BeginClaim, released: list[str]) -> ClaimAnswer:
         full = self._full(at, command.key)
@@ -313,6 +328,22 @@
             del self._held[key.workspace]
 
 
+_envelopes = msgspec.msgpack.Decoder(Envelope)
+_begins = msgspec.msgpack.Decoder(BeginClaim)
+
+
+def begin_in(entry: bytes) -> BeginClaim | None:
+    """Return the `BeginClaim` that a log entry holds, or None if it holds another command."""
+    try:
+        return _begins.decode(_envelopes.decode(entry).command)
+    except msgspec.ValidationError:
+        return None
+
+
+def _running(claim: _Claim) -> ClaimRunning:
+    return ClaimRunning(owner=claim.owner, incarnation=claim.incarnation, token=claim.token)
+
+
 def _ended(claim: _Claim) -> ClaimFinished | ClaimLost | ClaimReleased:
     if claim.state is ClaimState.RELEASED:
         return ClaimReleased()
--- a/packages/kernel/src/nutmegdrum/claimclient.py
+++ b/packages/kernel/src/nutmegdrum/claimclient.py
@@ -1,5 +1,6 @@
 """Decisions of an entry VM about one non-idempotent request and its claim."""
 
+from collections.abc import Sequence
 from enum import Enum
 from typing import NamedTuple
 
@@ -15,6 +16,7 @@
     ClaimReleased,
     ClaimRunning,
     ClaimsFull,
+    ClaimUnknown,
     FinishClaim,
     ReleaseClaim,
 )
@@ -134,6 +136,28 @@
         self.state = CallState.ENDED
         raise _refusal(answer)
 
+    def on_lookup(self, answers: Sequence[ClaimAnswer]) -> NextStep:
+        """Take what replicas know of the request after a failed proposal.
+
+        Returns
+        -------
+        NextStep
+            `REPLAY` if an earlier send ran.
+
+        Raises
+        ------
+        Refusal
+            Not run only if no replica that answered knows an earlier send, or if the caller can't
+            have sent the request before.
+        """
+        known = [answer for answer in answers if not self._is_no_other(answer)]
+        for answer in known:
+            if isinstance(answer, ClaimFinished):
+                return self._replay(answer.outcome)
+        if known:
+            raise _refusal(known[0])
+        raise no_quorum(earlier=self._identity.resendable and not answers)
+
     def next_poll_ms(self) -> int:
         """Return the time to wait before asking again, in ms."""
         wait_ms = self._poll_ms
@@ -177,6 +201,11 @@
             resendable=identity.resendable,
         )
 
+    def _is_no_other(self, answer: ClaimAnswer) -> bool:
+        """Return whether an answer tells of no send but this one."""
+        mine = isinstance(answer, ClaimRunning) and answer.token == self._identity.token
+        return mine or isinstance(answer, ClaimUnknown)
+
     def _replay(self, outcome: ClaimOutcome) -> NextStep:
         if not outcome.kept:
             detail = f"it ran with status {outcome.status}; the response was too large to keep"
@@ -200,7 +229,7 @@
     Parameters
     ----------
     earlier : bool
-        Whether this VM sent an earlier request under the same key.
+        Whether an earlier send under the same key may have run.
     """
     verdict = Verdict.MAY_HAVE_RUN if earlier else Verdict.NOT_RUN
     detail = "the claim on the request could not be committed"
--- a/packages/kernel/src/nutmegdrum/claimed_calls.py
+++ b/packages/kernel/src/nutmegdrum/claimed_calls.py
@@ -8,7 +8,14 @@
 from typing import NamedTuple
 
 import msgspec
-from nutmegdrum_coord.claims import ClaimAnswer, ClaimKey, ClaimOutcome, FinishClaim, ReleaseClaim
+from nutmegdrum_coord.claims import (
+    BeginClaim,
+    ClaimAnswer,
+    ClaimKey,
+    ClaimOutcome,
+    FinishClaim,
+    ReleaseClaim,
+)
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import BackendId, Fingerprint, IdempotencyKey, IncarnationId, VmId
 from nutmegdrum_coord.parts import Command
@@ -54,11 +61,14 @@
     propose : callable
         Commits a command and returns its answer; raises `Refusal` with `NOT_RUN` if it was
         certainly not appended, else with `MAY_HAVE_RUN`.
+    look_up : callable
+        Returns what the replicas that can be reached know of the request of a failed proposal.
     """
 
     owner: VmId
     incarnation: IncarnationId
     propose: Callable[[Command], ClaimAnswer]
+    look_up: Callable[[BeginClaim], list[ClaimAnswer]]
 
 
 class ClaimedCalls:
@@ -155,7 +165,9 @@
             except Refusal as exc:
                 metrics.CLAIMS.labels("no-quorum").inc()
                 self._keep(claim.on_proposal_failed(exc))
-                raise no_quorum(earlier=key in self._sent) from exc
+                if key in self._sent:
+                    raise no_quorum(earlier=True) from exc
+                return claim.on_lookup(self._state.look_up(command))
             step = claim.on_answer(answer, self._clock.elapsed_ms())
             if step is not NextStep.JOIN:
                 return step
--- a/packages/kernel/src/nutmegdrum/crashguard.py
+++ b/packages/kernel/src/nutmegdrum/crashguard.py
@@ -48,6 +48,9 @@
     ----------
     propose : callable
         Commits a command and returns its answer; raises `Refusal` if that is not certain.
+    is_down : callable
+        Says whether a backend server takes no connections. One that breaks off an exchange and
+        still takes others has not crashed.
     """
 
     def __init__(
@@ -55,9 +58,11 @@
         vm: VmId,
         clock: Clock,
         propose: Callable[[Command], QuarantineAnswer],
+        is_down: Callable[[BackendId], bool],
         sleep: Callable[[float], object] = time.sleep,
     ):
         self._vm = vm
+        self._is_down = is_down
         self._sleep = sleep
         self._clock = clock
         self._propose = propose
@@ -127,7 +132,7 @@
     def _report_loss(
         self, fingerprint: Fingerprint, backend: BackendId, kind: LossKind, tokens: int
     ) -> None:
-        if kind not in CRASHES:
+        if kind not in CRASHES or not self._is_down(backend):
             self.ended(fingerprint, cleared=False)
             return
         now_ms = self._clock.elapsed_ms()
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -2,7 +2,7 @@
 
 import random
 
-from nutmegdrum_coord.claims import ClaimAnswer
+from nutmegdrum_coord.claims import BeginClaim, ClaimAnswer
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import IncarnationId
 from nutmegdrum_coord.parts import Command, decode_answer, encode_command
@@ -18,6 +18,7 @@
 from nutmegdrum.heartbeat import Heartbeater, PeerViews
 from nutmegdrum.plain import PlainPath
 from nutmegdrum.plugins import Event, Kind, Registry
+from nutmegdrum.queries import ClaimQuery, decode_query_answer, encode_query
 from nutmegdrum.retries import RetryBudget
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import RpcClient
@@ -34,6 +35,7 @@
 BACKEND_PROTOCOL = "http"
 CLAIM_TIMEOUT_MS = 2_000
 SUSPICION_TIMEOUT_MS = 300
+LOOK_UP_TIMEOUT_MS = 300
 PLAIN_TICK_MS = 100
 
 
@@ -69,7 +71,7 @@
         control = new_control(cfg, registry, self.router.free_slots, clock.elapsed_ms())
         self.admission = Admission(control, clock)
         self.state = StateClient(rpc, cfg.state_replicas)
-        self.guard = CrashGuard(cfg.vm.id, clock, self._propose_suspicion)
+        self.guard = CrashGuard(cfg.vm.id, clock, self._propose_suspicion, self.router.is_down)
         routing = GuardedRouting(self.router, self.guard)
         self.streaming = Streaming(
             cfg,
@@ -87,7 +89,7 @@
         self.journal = self.streaming.journal
         budget = RetryBudget()
         registry.listen(Event.BACKEND_LOST, lambda **_: budget.on_recovery(clock.elapsed_ms()))
-        claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim)
+        claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim, self._look_up_claim)
         self.plain = PlainPath(cfg, clock, routing, self.guard, claims, budget)
         peers = PeerViews(cfg, rpc, rng, cfg.entry_vms)
         self.heartbeater = Heartbeater(
@@ -122,6 +124,11 @@
         encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
         return decode_answer(self.state.propose(encoded, CLAIM_TIMEOUT_MS), ClaimAnswer)
 
+    def _look_up_claim(self, begin: BeginClaim) -> list[ClaimAnswer]:
+        query = encode_query(ClaimQuery(key=begin.key, digest=begin.digest, token=begin.token))
+        answers = self.state.read_any(query, LOOK_UP_TIMEOUT_MS)
+        return [decode_query_answer(answer).answer for answer in answers]
+
     def _propose_suspicion(self, command: Command) -> QuarantineAnswer:
         encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
         return decode_answer(self.state.propose(encoded, SUSPICION_TIMEOUT_MS), QuarantineAnswer)
--- a/packages/kernel/src/nutmegdrum/lognode.py
+++ b/packages/kernel/src/nutmegdrum/lognode.py
@@ -219,6 +219,13 @@
         """Return the position up to which this replica has applied commands."""
         return self._applied
 
+    def unapplied(self) -> list[bytes]:
+        """Return the commands in this replica's log that it has not applied yet."""
+        entries = self._core.state.entries
+        after = LogPosition(max(self._applied, entries.base.position))
+        rest = entries.between(after, entries.last.position)
+        return [entry.data for entry in rest if entry.kind is EntryKind.COMMAND]
+
     def lease_until_ms(self) -> int:
         """Return the elapsed time in ms until which this replica may serve; 0 if it may not."""
         return self._serves_until_ms
--- a/packages/kernel/src/nutmegdrum/queries.py
+++ b/packages/kernel/src/nutmegdrum/queries.py
@@ -1,6 +1,7 @@
 """Operators' queries and their answers, as msgpack with the type's name as tag."""
 
 import msgspec
+from nutmegdrum_coord.claims import ClaimAnswer, ClaimKey
 from nutmegdrum_coord.clock import WallMs
 from nutmegdrum_coord.ids import (
     BackendId,
@@ -72,6 +73,20 @@
     """Ask for models, moves and open orders."""
 
 
+class ClaimQuery(Query, frozen=True, kw_only=True):
+    """Ask what is known of a non-idempotent request.
+
+    Attributes
+    ----------
+    token : str
+        The asker's own attempt, which is left out.
+    """
+
+    key: ClaimKey
+    digest: bytes
+    token: str
+
+
 class NoteSummary(msgspec.Struct, frozen=True, kw_only=True):
     """One accepted note."""
 
@@ -88,6 +103,12 @@
     note: bytes = b""
 
 
+class ClaimKnown(QueryAnswer, frozen=True, kw_only=True):
+    """What one replica knows of a non-idempotent request."""
+
+    answer: ClaimAnswer
+
+
 class NoteList(QueryAnswer, frozen=True, kw_only=True):
     """Accepted notes in the order of acceptance."""
 
@@ -227,8 +248,8 @@
     orders: list[OrderStatusLine]
 
 
-AnyQuery = NoteShow | NoteHistory | Report | AuditQuery | VmsQuery | StateQuery
-AnyAnswer = NoteFound | NoteList | ReportAnswer | AuditAnswer | VmsAnswer | StateAnswer
+AnyQuery = NoteShow | NoteHistory | Report | AuditQuery | VmsQuery | StateQuery | ClaimQuery
+AnyAnswer = NoteFound | NoteList | ReportAnswer | AuditAnswer | VmsAnswer | StateAnswer | ClaimKnown
 
 encode_query = msgspec.msgpack.Encoder().encode
 decode_query = msgspec.msgpack.Decoder(AnyQuery).decode
--- a/packages/kernel/src/nutmegdrum/routing.py
+++ b/packages/kernel/src/nutmegdrum/routing.py
@@ -14,6 +14,7 @@
 from nutmegdrum.balancing import Balancer, Candidate, SampledBalancer
 from nutmegdrum.messages import CacheEvent, LoadedVersion, LoadReport, LossKind
 from nutmegdrum.plugins import Kind, Registry
+from nutmegdrum.probes import accepts_connections
 from nutmegdrum.routing_query import Choice, RouteQuery
 from nutmegdrum.settings import BackendSettings, Settings
 from nutmegdrum.slots import SlotEstimate
@@ -22,6 +23,7 @@
 
 SUBSET_SIZE = 48
 SERVING_ROLE = "serve"
+CONNECT_PROBE_MS = 300
 
 
 class Router:
@@ -157,6 +159,13 @@
         with self._lock:
             self._balancer.on_cache_events(backend, events)
 
+    def is_down(self, backend: BackendId) -> bool:
+        """Return whether a backend server refuses connections now."""
+        with self._lock:
+            views = (view for group in self._backends.values() for view in group)
+            found = next((view for view in views if view.id == backend), None)
+        return found is None or not accepts_connections(found.address, CONNECT_PROBE_MS)
+
     def used_backends(self) -> list[BackendSettings]:
         """Return the backend servers whose cache events the balancer wants."""
         with self._lock:
--- a/packages/kernel/src/nutmegdrum/state_client.py
+++ b/packages/kernel/src/nutmegdrum/state_client.py
@@ -55,6 +55,16 @@
             return answer
         raise self._no_quorum(v.Verdict.NOT_RUN)
 
+    def read_any(self, query: bytes, timeout_ms: int) -> list[bytes]:
+        """Return the encoded answers of the replicas that can be reached; they may lag."""
+        answers: list[bytes] = []
+        for vm in self._order():
+            try:
+                answers.append(self._call(vm, "read", query, False, timeout_ms=timeout_ms))
+            except (PeerUnreachable, v.Refusal):
+                continue
+        return answers
+
     def heartbeat(self, report: HeartbeatReport, timeout_ms: int) -> HeartbeatAnswer:
         """Report to the leader, or else to any replica, and return its answer.
 
--- a/packages/kernel/src/nutmegdrum/state_daemon.py
+++ b/packages/kernel/src/nutmegdrum/state_daemon.py
@@ -4,7 +4,7 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
 from nutmegdrum_coord import verdict as v
-from nutmegdrum_coord.claims import Claims
+from nutmegdrum_coord.claims import ClaimRunning, Claims, ClaimUnknown, begin_in
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import CommandId, VmId
 from nutmegdrum_coord.parts import PartedState, encode_command
@@ -15,7 +15,7 @@
 from nutmegdrum.orders import Orders
 from nutmegdrum.packing import pack, unpack
 from nutmegdrum.plugins import Kind, Registry
-from nutmegdrum.queries import decode_query, encode_query
+from nutmegdrum.queries import ClaimKnown, ClaimQuery, decode_query, encode_query
 from nutmegdrum.releases import Releases, SubmitNote
 from nutmegdrum.reports import answer_query
 from nutmegdrum.rpc import RpcClient
@@ -143,14 +143,35 @@
         Refusal
             `NOT_LEADER` if `fresh` and this replica's lease is not valid.
         """
+        decoded = decode_query(query)
+        if isinstance(decoded, ClaimQuery):
+            return encode_query(self._known_claim(decoded))
         if fresh and not self._log.is_leader():
             raise v.Refusal(v.NOT_LEADER)
         observed = self._leader.observed().get()
         with self._shared.lock:
-            answer = answer_query(self._shared.state, observed, decode_query(query))
+            answer = answer_query(self._shared.state, observed, decoded)
         if fresh and not self._log.is_leader():
             raise v.Refusal(v.NOT_LEADER)
         return encode_query(answer)
 
+    def _known_claim(self, query: ClaimQuery) -> ClaimKnown:
+        """Return what this replica's state and the rest of its log say of a request.
+
+        A replica that was restarted, or led without a quorum, holds entries that it may not apply;
+        they may be committed all the same.
+        """
+        with self._shared.lock:
+            claims: Claims = self._shared.state.parts[Claims.name]
+            answer = claims.look_up(query.key, query.digest)
+            commands = self._log.unapplied()
+        if isinstance(answer, ClaimUnknown):
+            for begin in (begin_in(command) for command in commands):
+                if begin is not None and begin.key == query.key and begin.token != query.token:
+                    answer = ClaimRunning(
+                        owner=begin.owner, incarnation=begin.incarnation, token=begin.token
+                    )
+        return ClaimKnown(answer=answer)
+
     def _tick(self) -> None:
         self._leader.tick().get()
--- a/packages/kernel/tests/test_plain.py
+++ b/packages/kernel/tests/test_plain.py
@@ -45,6 +45,10 @@
         self.quarantine = Quarantine()
         self.failure: Refusal | None = None
         self.applies = True
+        self.readable = True
+
+    def look_up(self, begin):
+        return [self.claims.look_up(begin.key, begin.digest)] if self.readable else []
 
     def propose(self, command):
         answer = None
@@ -87,8 +91,10 @@
         self.state = state or State()
         self.sender = sender or Sender()
         router = Router(self.cfg, self.clock, random.Random(1), Registry())
-        writer = ClaimWriter(VmId(name), IncarnationId(name), self.state.propose)
-        guard = CrashGuard(VmId(name), self.clock, self.state.propose)
+        writer = ClaimWriter(
+            VmId(name), IncarnationId(name), self.state.propose, self.state.look_up
+        )
+        guard = CrashGuard(VmId(name), self.clock, self.state.propose, lambda backend: True)
         routing = GuardedRouting(router, guard)
         self.path = PlainPath(self.cfg, self.clock, routing, guard, writer, sender=self.sender)
 
@@ -160,6 +166,20 @@
         assert refusal.retry_after_ms
         assert vm.path.pending_claims() == 0
 
+    def test_resend_without_quorum_gets_the_reply_that_a_replica_knows(self):
+        vm = Vm()
+        vm.call()
+        vm.state.failure = Refusal(NO_QUORUM, Verdict.NOT_RUN)
+        vm.state.applies = False
+        assert Vm(vm.state, vm.sender, "e2").call().headers["Idempotency-Replayed"] == "true"
+
+    def test_resend_without_any_replica_may_have_run(self):
+        vm = Vm()
+        vm.state.applies = vm.state.readable = False
+        vm.state.failure = Refusal(NO_QUORUM, Verdict.NOT_RUN)
+        assert vm.refusal().verdict is Verdict.MAY_HAVE_RUN
+        assert vm.refusal(key="").verdict is Verdict.NOT_RUN
+
     def test_unknown_fate_of_a_claim_is_not_run_and_freed_later(self):
         vm = Vm()
         other = Vm(vm.state, vm.sender, "e2")
--- a/packages/kernel/tests/test_plain_processes.py
+++ b/packages/kernel/tests/test_plain_processes.py
@@ -137,6 +137,7 @@
             replies = [caller.book("farm", f"k{n}") for n in range(30)]
             refused = [reply for reply in replies if reply.problem is not None]
             assert refused
+            assert {reply.problem.reason for reply in refused} == {"limit-reached"}
             assert {reply.status for reply in refused} == {429}
             assert {reply.problem.verdict for reply in refused} == {"not-run"}
             assert all(int(reply.headers["Retry-After"]) > 0 for reply in refused)
--- a/packages/kernel/tests/test_quarantine_machine.py
+++ b/packages/kernel/tests/test_quarantine_machine.py
@@ -20,6 +20,10 @@
 PICK = st.integers(0, 1_000)
 
 
+def _is_down(backend):
+    return True
+
+
 class QuarantineMachine(RuleBasedStateMachine):
     """Crashing requests among innocent ones, over several entry VMs and backend servers.
 
@@ -33,7 +37,7 @@
         self.clock = ManualClock()
         self.part = Quarantine()
         self.guards = {
-            vm: CrashGuard(VmId(vm), self.clock, self._propose, self._sleep) for vm in VMS
+            vm: CrashGuard(VmId(vm), self.clock, self._propose, _is_down, self._sleep) for vm in VMS
         }
         self.running = {backend: {} for backend in BACKENDS}
         self.isolated = {}
--- a/packages/testing/src/nutmegdrum_testing/bench/__main__.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/__main__.py
@@ -19,6 +19,7 @@
     "recovery": "resume latency after a reset, silence, a pause and the loss of an entry VM",
     "overhead": "first token, token gap, processor time and memory against direct",
     "claims": "non-idempotent calls a second",
+    "claim_faults": "bookings resent while daemons are killed and paused",
     "claim_log": "claims a second that the state replicas commit",
     "goodput": "whole answers under 0.5x to 4x load",
     "overload_table": "admission under overload in model time",
--- a/packages/testing/src/nutmegdrum_testing/bench/bounds.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/bounds.py
@@ -36,6 +36,7 @@
     "control-memory": Bound(256, "MiB", TARGET),
     "control-bytes": Bound(5_000, "B/s", TARGET),
     "broken-streams": Bound(0, "streams", PROMISES),
+    "false-not-run": Bound(0, "keys", PROMISES),
     "double-runs": Bound(0, "calls", PROMISES),
     "heartbeat-lateness": Bound(1_500, "ms", "freshness lease less one heartbeat, settings"),
     "goodput": Bound(0.9, "share", "goodput holds at 2x load and more", True, gated=True),
