--- a/packages/coord/src/nutmegdrum_coord/entries.py
+++ b/packages/coord/src/nutmegdrum_coord/entries.py
@@ -66,11 +66,12 @@
         """Return the entry at `position`, which lies after the base."""
         return self._entries[position - self.base.position - 1]
 
-    def after(self, position: LogPosition, max_bytes: int) -> list[Entry]:
-        """Return entries after `position`, at least one if there is any, up to `max_bytes`."""
+    def after(self, position: LogPosition, max_bytes: int, max_count: int) -> list[Entry]:
+        """Return entries after `position` within the limits, at least one if there is any."""
         taken: list[Entry] = []
         size = 0
-        for index in range(position - self.base.position, len(self._entries)):
+        start = position - self.base.position
+        for index in range(start, min(start + max_count, len(self._entries))):
             entry = self._entries[index]
             size += len(entry.data)
             if taken and size > max_bytes:
--- a/packages/coord/src/nutmegdrum_coord/replication.py
+++ b/packages/coord/src/nutmegdrum_coord/replication.py
@@ -20,6 +20,8 @@
 from nutmegdrum_coord.members import next_change, quorum
 
 MAX_APPEND_BYTES = 1 << 20
+MAX_APPEND_ENTRIES = 256
+MAX_UNACKNOWLEDGED_ENTRIES = 1_024
 START = LastEntry(0, 0)
 
 
@@ -123,7 +125,8 @@
         last = self._state.entries.last.position
         for member in self._others():
             progress = self._progress_of(member, now_ms)
-            if self._state.entries.base.position <= progress.sent < last:
+            known = self._state.entries.base.position <= progress.sent < last
+            if known and _has_room(progress):
                 self._send_append(member, now_ms)
 
     def on_append_reply(self, now_ms: int, reply: AppendReply) -> None:
@@ -175,11 +178,16 @@
             self._send_requests(member, START, [], now_ms)
             self._resend_chunk(member, progress, now_ms)
             return
-        batch = entries.after(progress.sent, MAX_APPEND_BYTES)
+        batch = self._next_batch(progress)
         self._send_requests(member, LastEntry(term, progress.sent), batch, now_ms)
         if batch:
             progress.sent = batch[-1].position
 
+    def _next_batch(self, progress: Progress) -> list[Entry]:
+        if not _has_room(progress):
+            return []
+        return self._state.entries.after(progress.sent, MAX_APPEND_BYTES, MAX_APPEND_ENTRIES)
+
     def _send_requests(
         self, member: Member, previous: LastEntry, entries: list[Entry], now_ms: int
     ) -> None:
@@ -241,3 +249,7 @@
         progress = self._progress_of(member, now_ms)
         recent = now_ms - progress.heard_ms < self._timing.election_timeout_ms
         return recent and progress.match >= self._state.commit
+
+
+def _has_room(progress: Progress) -> bool:
+    return progress.sent - progress.match < MAX_UNACKNOWLEDGED_ENTRIES
--- a/packages/kernel/src/nutmegdrum/lognode.py
+++ b/packages/kernel/src/nutmegdrum/lognode.py
@@ -46,7 +46,7 @@
 )
 from nutmegdrum_coord.logstate import LogTiming
 from nutmegdrum_coord.statemachine import Applied, StateMachine
-from nutmegdrum_coord.verdict import NO_QUORUM, NOT_LEADER, Refusal, Verdict
+from nutmegdrum_coord.verdict import NO_QUORUM, NOT_LEADER, OVERLOADED, Refusal, Verdict
 from prometheus_client import Counter, Gauge
 
 from nutmegdrum.logfolder import open_folder, retire_folder
@@ -63,12 +63,17 @@
 MAX_LOG_BYTES = 64 << 20
 """Bytes of commands after which a snapshot is taken, however few the commands are."""
 
+MAX_TURN_PROPOSALS = 256
+"""Proposals handled in one turn; all messages go first, so that heartbeats are in time."""
+
+MAX_WAITING_PROPOSALS = 8_192
 EXCHANGE_TIMEOUT_S = 2.0
 RETRY_MS = 200
 SEED_BITS = 64
 TICKS_PER_HEARTBEAT = 5
 
 LEADS = Gauge("nutmegdrum_log_leads", "1 if this replica of the log leads, else 0")
+VOTES = Gauge("nutmegdrum_log_votes", "1 if this replica counts for quorums and may vote, else 0")
 TERM = Gauge("nutmegdrum_log_term", "Current term of the replicated log")
 APPLIED = Gauge("nutmegdrum_log_applied_position", "Position up to which commands are applied")
 FAILED = Gauge("nutmegdrum_log_disk_failed", "1 if this replica stopped because of its disk")
@@ -149,6 +154,7 @@
         self._transport = transport
         self._lock = threading.Lock()
         self._inputs: deque[_Input] = deque()
+        self._proposals: deque[_Input] = deque()
         self._woken = False
         self._pending: dict[LogPosition, _Pending] = {}
         self._applied = LogPosition(0)
@@ -194,12 +200,14 @@
             return []
 
     def propose(self, command: bytes) -> "Future[Applied]":
-        """Append a command, as `Log.propose` says."""
+        """Append a command, as `Log.propose` says; `OVERLOADED` if too many wait already."""
         fut: Future[Applied] = Future()
-        if self.is_leader():
-            self._put(_Proposal(command, fut))
-        else:
+        if not self.is_leader():
             fut.set_exception(self._not_leader())
+        elif len(self._proposals) + len(self._pending) >= MAX_WAITING_PROPOSALS:
+            fut.set_exception(Refusal(OVERLOADED, Verdict.NOT_RUN, RETRY_MS))
+        else:
+            self._put(_Proposal(command, fut))
         return fut
 
     def is_leader(self) -> bool:
@@ -251,10 +259,14 @@
 
     def _put(self, item: _Input) -> None:
         with self._lock:
-            self._inputs.append(item)
+            queue = self._proposals if isinstance(item, _Proposal) else self._inputs
+            queue.append(item)
             if self._woken:
                 return
             self._woken = True
+        self._wake()
+
+    def _wake(self) -> None:
         try:
             self._actor.tell(_Turn())
         except pykka.ActorDeadError:
@@ -262,9 +274,14 @@
 
     def _take_inputs(self) -> list[_Input]:
         with self._lock:
-            self._woken = False
             items = list(self._inputs)
             self._inputs.clear()
+            count = min(len(self._proposals), MAX_TURN_PROPOSALS)
+            items += [self._proposals.popleft() for _ in range(count)]
+            self._woken = bool(self._proposals)
+            more = self._woken
+        if more:
+            self._wake()
         return items
 
     def _take_replies(self, sender: VmId, replies: list[bytes]) -> None:
@@ -424,6 +441,7 @@
     def _publish(self) -> None:
         core = self._core
         self._serves_until_ms = core.serves_until_ms(self._clock.elapsed_ms())
+        VOTES.set(int(core.may_vote and core.identity in core.members.voters))
         TERM.set(core.state.term)
         APPLIED.set(self._applied)
         if core.leads != self._led:
@@ -437,6 +455,8 @@
         self._failed = True
         self._serves_until_ms = 0
         FAILED.set(1)
+        LEADS.set(0)
+        VOTES.set(0)
         log.error("cannot save or apply, this replica stops: %r", exc)
         self._fail_pending()
 
@@ -446,7 +466,11 @@
             item.fut.set_exception(_lost())
 
     def _refuse_inputs(self) -> None:
-        self._refuse(self._take_inputs())
+        with self._lock:
+            items = [*self._inputs, *self._proposals]
+            self._inputs.clear()
+            self._proposals.clear()
+        self._refuse(items)
 
     def _refuse(self, items: list[_Input]) -> None:
         for item in items:
--- a/packages/kernel/tests/test_lognode.py
+++ b/packages/kernel/tests/test_lognode.py
@@ -5,7 +5,7 @@
 from nutmegdrum.lognode import SYNCS
 from nutmegdrum.settings import ControlSettings
 from nutmegdrum.units import Duration
-from nutmegdrum_coord.verdict import NO_QUORUM, NOT_LEADER, Verdict
+from nutmegdrum_coord.verdict import NO_QUORUM, NOT_LEADER, OVERLOADED, Verdict
 from nutmegdrum_testing.logcluster import LogCluster
 from nutmegdrum_testing.waiting import wait_for
 
@@ -71,6 +71,24 @@
         assert all_have(cluster, [b"a", b"b"])
 
 
+class TestFlood:
+    @pytest.fixture
+    def cluster(self, tmp_path):
+        cluster = LogCluster(tmp_path, control=ControlSettings())
+        yield cluster
+        cluster.stop()
+
+    def test_a_flood_of_proposals_is_refused_before_it_costs_the_lease(self, cluster):
+        cluster.start()
+        submit(cluster, b"a")
+        leader = wait_for(cluster.leader)
+        term = leader.fencing_number()
+        futs = [leader.propose(b"b") for _ in range(30_000)]
+        failures = [fut.exception(timeout=30) for fut in futs]
+        assert {exc.why for exc in failures if exc} <= {OVERLOADED}
+        assert leader.fencing_number() == term
+
+
 class TestDisks:
     def test_a_lost_disk_and_then_a_second_vm_lose_nothing(self, cluster):
         cluster.start()
