--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/loginbox.py
@@ -0,0 +1,73 @@
+"""Inputs of one node of the replicated log, on their way to its thread."""
+
+import threading
+from collections import deque
+from concurrent.futures import Future
+from typing import NamedTuple
+
+from nutmegdrum_coord.ids import VmId
+from nutmegdrum_coord.logmessages import AnyMessage
+from nutmegdrum_coord.statemachine import Applied
+
+MAX_TURN_PROPOSALS = 256
+"""Proposals handled in one turn; all messages go first, so that heartbeats are in time."""
+
+
+class Proposal(NamedTuple):
+    """Command that was proposed here."""
+
+    command: bytes
+    fut: "Future[Applied]"
+
+
+class Exchange(NamedTuple):
+    """Messages of a peer; `fut` is None if they answer a call of this node."""
+
+    sender: VmId
+    messages: list[AnyMessage]
+    fut: "Future[list[bytes]] | None"
+
+
+Input = Proposal | Exchange | None
+"""Input of a turn; None lets time pass."""
+
+
+class Inbox:
+    """Queue of inputs, with messages ahead of proposals; thread-safe."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._messages: deque[Input] = deque()
+        self._proposals: deque[Input] = deque()
+        self._woken = False
+
+    def put(self, item: Input) -> bool:
+        """Add an input, and return whether the thread must be woken."""
+        with self._lock:
+            queue = self._proposals if isinstance(item, Proposal) else self._messages
+            queue.append(item)
+            wake = not self._woken
+            self._woken = True
+            return wake
+
+    def proposals(self) -> int:
+        """Return how many proposals wait."""
+        return len(self._proposals)
+
+    def take(self) -> tuple[list[Input], bool]:
+        """Return the inputs of one turn, and whether another turn must follow."""
+        with self._lock:
+            items = list(self._messages)
+            self._messages.clear()
+            count = min(len(self._proposals), MAX_TURN_PROPOSALS)
+            items += [self._proposals.popleft() for _ in range(count)]
+            self._woken = bool(self._proposals)
+            return items, self._woken
+
+    def take_all(self) -> list[Input]:
+        """Return all inputs."""
+        with self._lock:
+            items = [*self._messages, *self._proposals]
+            self._messages.clear()
+            self._proposals.clear()
+            return items
--- a/packages/kernel/src/nutmegdrum/lognode.py
+++ b/packages/kernel/src/nutmegdrum/lognode.py
@@ -12,7 +12,6 @@
 import random
 import secrets
 import threading
-from collections import deque
 from collections.abc import Callable
 from concurrent.futures import Future
 from pathlib import Path
@@ -50,6 +49,7 @@
 from prometheus_client import Counter, Gauge
 
 from nutmegdrum.logfolder import open_folder, retire_folder
+from nutmegdrum.loginbox import Exchange, Inbox, Input, Proposal
 from nutmegdrum.logsender import LogTransport, PeerSender
 from nutmegdrum.settings import Settings
 
@@ -63,9 +63,6 @@
 MAX_LOG_BYTES = 64 << 20
 """Bytes of commands after which a snapshot is taken, however few the commands are."""
 
-MAX_TURN_PROPOSALS = 256
-"""Proposals handled in one turn; all messages go first, so that heartbeats are in time."""
-
 MAX_WAITING_PROPOSALS = 8_192
 EXCHANGE_TIMEOUT_S = 2.0
 RETRY_MS = 200
@@ -83,17 +80,6 @@
 RETIRED = Counter("nutmegdrum_log_retired_incarnations", "Incarnations given up")
 
 
-class _Proposal(NamedTuple):
-    command: bytes
-    fut: "Future[Applied]"
-
-
-class _Exchange(NamedTuple):
-    sender: VmId
-    messages: list[AnyMessage]
-    fut: "Future[list[bytes]] | None"
-
-
 class _Pending(NamedTuple):
     term: int
     fut: "Future[Applied]"
@@ -103,9 +89,6 @@
     """Wake-up of the actor."""
 
 
-_Input = _Proposal | _Exchange | None
-
-
 class _CoreActor(pykka.ThreadingActor):
     """Thread that owns the core of one node."""
 
@@ -152,10 +135,7 @@
         self._rng = random.Random(rng.getrandbits(SEED_BITS) ^ secrets.randbits(SEED_BITS))
         self._machine = machine
         self._transport = transport
-        self._lock = threading.Lock()
-        self._inputs: deque[_Input] = deque()
-        self._proposals: deque[_Input] = deque()
-        self._woken = False
+        self._inbox = Inbox()
         self._pending: dict[LogPosition, _Pending] = {}
         self._applied = LogPosition(0)
         self._bytes_since_snapshot = 0
@@ -184,7 +164,7 @@
         self._actor.stop(block=True)
         self._serves_until_ms = 0
         self._fail_pending()
-        self._refuse_inputs()
+        self._refuse(self._inbox.take_all())
         self._store.close()
 
     def exchange(self, sender: VmId, messages: list[bytes]) -> list[bytes]:
@@ -193,7 +173,7 @@
         Everything that the answers say is synced when this returns. Thread-safe.
         """
         fut: Future[list[bytes]] = Future()
-        self._put(_Exchange(sender, _decoded(messages), fut))
+        self._put(Exchange(sender, _decoded(messages), fut))
         try:
             return fut.result(timeout=EXCHANGE_TIMEOUT_S)
         except TimeoutError:
@@ -204,10 +184,10 @@
         fut: Future[Applied] = Future()
         if not self.is_leader():
             fut.set_exception(self._not_leader())
-        elif len(self._proposals) + len(self._pending) >= MAX_WAITING_PROPOSALS:
+        elif self._inbox.proposals() + len(self._pending) >= MAX_WAITING_PROPOSALS:
             fut.set_exception(Refusal(OVERLOADED, Verdict.NOT_RUN, RETRY_MS))
         else:
-            self._put(_Proposal(command, fut))
+            self._put(Proposal(command, fut))
         return fut
 
     def is_leader(self) -> bool:
@@ -257,36 +237,19 @@
             self._clock.elapsed_ms(),
         )
 
-    def _put(self, item: _Input) -> None:
-        with self._lock:
-            queue = self._proposals if isinstance(item, _Proposal) else self._inputs
-            queue.append(item)
-            if self._woken:
-                return
-            self._woken = True
-        self._wake()
+    def _put(self, item: Input) -> None:
+        if self._inbox.put(item):
+            self._wake()
 
     def _wake(self) -> None:
         try:
             self._actor.tell(_Turn())
         except pykka.ActorDeadError:
-            self._refuse_inputs()
-
-    def _take_inputs(self) -> list[_Input]:
-        with self._lock:
-            items = list(self._inputs)
-            self._inputs.clear()
-            count = min(len(self._proposals), MAX_TURN_PROPOSALS)
-            items += [self._proposals.popleft() for _ in range(count)]
-            self._woken = bool(self._proposals)
-            more = self._woken
-        if more:
-            self._wake()
-        return items
+            self._refuse(self._inbox.take_all())
 
     def _take_replies(self, sender: VmId, replies: list[bytes]) -> None:
         if replies:
-            self._put(_Exchange(sender, _decoded(replies), None))
+            self._put(Exchange(sender, _decoded(replies), None))
 
     def _tick_forever(self) -> None:
         period_s = self._timing.heartbeat_ms / TICKS_PER_HEARTBEAT / 1_000
@@ -294,7 +257,9 @@
             self._put(None)
 
     def _turn(self) -> None:
-        items = self._take_inputs()
+        items, more = self._inbox.take()
+        if more:
+            self._wake()
         if self._failed:
             self._refuse(items)
             return
@@ -305,20 +270,22 @@
             self._fail(exc)
             self._refuse(items)
 
-    def _handle(self, items: list[_Input]) -> None:
+    def _handle(self, items: list[Input]) -> None:
         now_ms = self._clock.elapsed_ms()
         effects = [*self._core.tick(now_ms)]
-        answers: list[tuple[_Exchange, list[Send]]] = []
+        answers: list[tuple[Exchange, list[Send]]] = []
         for item in items:
-            if isinstance(item, _Proposal):
+            if isinstance(item, Proposal):
                 self._append(now_ms, item)
             elif item is not None:
                 effects.extend(self._receive(now_ms, item, answers))
         effects.extend(self._core.flush(now_ms))
+        # A lease that has ended here must be so before a vote for another leaves.
+        self._serves_until_ms = min(self._serves_until_ms, self._core.serves_until_ms(now_ms))
         self._carry_out(effects, answers)
         self._publish()
 
-    def _append(self, now_ms: int, item: _Proposal) -> None:
+    def _append(self, now_ms: int, item: Proposal) -> None:
         entry = self._core.propose(now_ms, item.command)
         if entry is None:
             item.fut.set_exception(self._not_leader())
@@ -326,7 +293,7 @@
             self._pending[entry.position] = _Pending(entry.term, item.fut)
 
     def _receive(
-        self, now_ms: int, item: _Exchange, answers: list[tuple[_Exchange, list[Send]]]
+        self, now_ms: int, item: Exchange, answers: list[tuple[Exchange, list[Send]]]
     ) -> list[Effect]:
         effects = [e for message in item.messages for e in self._core.receive(now_ms, message)]
         if item.fut is None:
@@ -335,9 +302,7 @@
         answers.append((item, replies))
         return [e for e in effects if e not in replies]
 
-    def _carry_out(
-        self, effects: list[Effect], answers: list[tuple[_Exchange, list[Send]]]
-    ) -> None:
+    def _carry_out(self, effects: list[Effect], answers: list[tuple[Exchange, list[Send]]]) -> None:
         self._save(effects)
         for exchange, replies in answers:
             assert exchange.fut is not None
@@ -465,18 +430,11 @@
         for item in pending.values():
             item.fut.set_exception(_lost())
 
-    def _refuse_inputs(self) -> None:
-        with self._lock:
-            items = [*self._inputs, *self._proposals]
-            self._inputs.clear()
-            self._proposals.clear()
-        self._refuse(items)
-
-    def _refuse(self, items: list[_Input]) -> None:
+    def _refuse(self, items: list[Input]) -> None:
         for item in items:
-            if isinstance(item, _Proposal) and not item.fut.done():
+            if isinstance(item, Proposal) and not item.fut.done():
                 item.fut.set_exception(self._not_leader())
-            elif isinstance(item, _Exchange) and item.fut is not None and not item.fut.done():
+            elif isinstance(item, Exchange) and item.fut is not None and not item.fut.done():
                 item.fut.set_result([])
 
     def _not_leader(self) -> Refusal:
--- a/packages/kernel/tests/test_lognode.py
+++ b/packages/kernel/tests/test_lognode.py
@@ -71,6 +71,24 @@
         assert all_have(cluster, [b"a", b"b"])
 
 
+class TestMembers:
+    def test_a_vm_is_added_by_the_settings_and_another_removed(self, cluster):
+        cluster.start()
+        submit(cluster, b"a")
+        for change in (["s1", "s2", "s3", "s4"], ["s2", "s3", "s4"]):
+            cluster.stop()
+            cluster.vms = change
+            cluster.start()
+            submit(cluster, b"b")
+            wait_for(
+                lambda vms=change: all(
+                    sorted(voter.vm for voter in node.members().voters) == vms
+                    for node in cluster.nodes.values()
+                )
+            )
+        assert all_have(cluster, [b"a", b"b", b"b"])
+
+
 class TestFlood:
     @pytest.fixture
     def cluster(self, tmp_path):
