Tell a voter that missed the first start which cluster it is in

The test fails for both of its cases without the change. Ruled out: refusing a first configuration because any member's disk was replaced since; only the sender's matters.

--- a/packages/coord/src/nutmegdrum_coord/joining.py
+++ b/packages/coord/src/nutmegdrum_coord/joining.py
@@ -13,7 +13,7 @@
 
 from nutmegdrum_coord.ids import Term, VmId
 from nutmegdrum_coord.logeffects import Saved
-from nutmegdrum_coord.logmessages import NO_CLUSTER, HelloReply, LastEntry, Member, Members
+from nutmegdrum_coord.logmessages import NO_CLUSTER, Form, HelloReply, LastEntry, Member, Members
 
 
 class Joining:
@@ -74,12 +74,9 @@
             return None
         return Members(tuple(sorted(self._newest[vm] for vm in self._vms)))
 
-    def accepts_form(self, members: Members) -> bool:
-        """Return whether a first configuration is what this replica knows of its peers."""
-        if not self.new or {member.vm for member in members.voters} != self._vms:
-            return False
-        known = [self._newest.get(member.vm, member) for member in members.voters]
-        return known == list(members.voters)
+    def accepts_form(self, form: Form) -> bool:
+        """Return whether `form` comes from a replica whose VM has not lost that disk since."""
+        return self.new and self._newest.get(form.sender.vm, form.sender) == form.sender
 
     def is_checked(self, now_ms: int) -> bool:
         """Return whether enough peers have answered for `floor` and `spent_term` to hold."""
--- a/packages/coord/src/nutmegdrum_coord/logcore.py
+++ b/packages/coord/src/nutmegdrum_coord/logcore.py
@@ -40,6 +40,7 @@
     SnapshotRequest,
     VoteReply,
     VoteRequest,
+    decode_members,
     encode_members,
 )
 from nutmegdrum_coord.logstate import LogState, LogTiming
@@ -362,9 +363,12 @@
         )
 
     def _offer_form_to(self, member: Member) -> None:
+        """Tell a voter that it is one; the first `Form` may have been lost with its sender."""
         entries = self.state.entries
-        if entries.base.position == 0 and entries.members_position == 1:
-            self.state.send(member, Form, members=entries.members)
+        members = Members()
+        if entries.base.position == 0:
+            members = decode_members(entries.at(LogPosition(1)).data)
+        self.state.send(member, Form, members=members)
 
     def _on_hello_reply(self, now_ms: int, reply: HelloReply) -> None:
         if reply.nonce != self._joining.nonce:
@@ -383,7 +387,9 @@
         return newest < LastEntry(reply.term, reply.acknowledged)
 
     def _on_form(self, now_ms: int, form: Form) -> None:
-        if self.state.ballot.cluster != NO_CLUSTER or self.identity not in form.members.voters:
+        if self.state.ballot.cluster != NO_CLUSTER or not self._joining.accepts_form(form):
             return
-        if self._joining.accepts_form(form.members):
+        if form.members.voters:
             self._found(now_ms, form.cluster, form.members)
+        else:
+            self.state.save_ballot(Ballot(form.cluster, Term(0), None))
--- a/packages/coord/src/nutmegdrum_coord/logmessages.py
+++ b/packages/coord/src/nutmegdrum_coord/logmessages.py
@@ -190,7 +190,10 @@
 
 
 class Form(Message, frozen=True):
-    """First configuration of a new cluster, sent once all replicas were seen to be new."""
+    """First configuration of a new cluster, sent once all replicas were seen to be new.
+
+    Later it tells a voter that missed it so; without members if that entry is compacted away.
+    """
 
     members: Members
 
--- a/packages/coord/tests/test_log_safety.py
+++ b/packages/coord/tests/test_log_safety.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from nutmegdrum_coord.logmessages import AppendRequest, decode_message
-from nutmegdrum_testing.lognet import STEP_MS, VMS, Net
+from nutmegdrum_testing.lognet import STEP_MS, VMS, Disk, Net
 
 vms = st.sampled_from(VMS)
 
@@ -137,6 +137,31 @@
         assert lost.counts()
 
 
+class TestFirstStart:
+    @pytest.mark.parametrize("compacted", [False, True])
+    def test_a_voter_that_missed_the_first_start_still_votes_after_a_loss(self, compacted):
+        net = Net(seed=1)
+        while net.vms["a"].disk.ballot.cluster == "":
+            net.run(STEP_MS)
+        net.vms["b"].disk = Disk(net.vms["b"].disk.incarnation)
+        net.vms["b"].start()
+        isolate(net, "b")
+        net.flying.clear()
+        net.vms["a"].start()
+        net.run(5_000)
+        commit(net, b"kept")
+        if compacted:
+            net.vms["a"].compact()
+        assert net.vms["b"].disk.ballot.cluster == ""
+        net.vms["c"].lose_disk()
+        net.vms["c"].start()
+        net.vms["a"].start()
+        net.cuts = set()
+        net.run(10_000)
+        assert net.serving() is not None
+        assert net.vms["c"].counts()
+
+
 class TestSnapshots:
     def test_a_replica_far_behind_catches_up_by_few_messages(self, net):
         behind = followers(net)[0]
