--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -17,9 +17,10 @@
 from nutmegdrum.guarded_routing import GuardedRouting
 from nutmegdrum.heartbeat import Heartbeater, PeerViews
 from nutmegdrum.plain import PlainPath
-from nutmegdrum.plugins import Kind, Registry
+from nutmegdrum.plugins import Event, Kind, Registry
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import RpcClient
+from nutmegdrum.service_tally import ServiceTally
 from nutmegdrum.settings import Settings
 from nutmegdrum.state_client import StateClient
 from nutmegdrum.streaming import Streaming
@@ -59,6 +60,8 @@
         self.registry = registry
         protocol = registry.get(Kind.BACKEND_PROTOCOL, BACKEND_PROTOCOL)
         self.watch = VersionWatch(clock)
+        self.tally = ServiceTally()
+        registry.listen(Event.STREAM_RECOVERED, self.tally.on_recovered)
         self.router = Router(cfg, clock, rng, registry, self.watch.allows)
         control = new_control(cfg, registry, self.router.free_slots, clock.elapsed_ms())
         self.admission = Admission(control, clock)
@@ -90,6 +93,7 @@
             self.admission,
             self.guard,
             self.watch,
+            self.tally,
             peers,
             incarnation,
         )
--- a/packages/testing/src/nutmegdrum_testing/deployment.py
+++ b/packages/testing/src/nutmegdrum_testing/deployment.py
@@ -23,6 +23,9 @@
 MODEL_SERVICE = "llm"
 PLAIN_SERVICE = "booking"
 MODEL = "m"
+PLUGINS = ("http_engine", "sequential_judge", "prefix_affinity", "fair_share")
+HIGH_LIMITS = {"max_streams": 5_000, "tokens_per_s": 10_000_000, "requests_per_s": 100_000}
+"""Limits that no test reaches unless it sets its own."""
 
 
 def key_of(workspace: str) -> str:
@@ -47,8 +50,9 @@
         is reached by one.
     workspace_limits : dict
         Limits of each workspace, in the words of the settings.
-    listed_engines, listed_models : int
-        Further backend servers, which share the engines' addresses, and further models.
+    listed_engines, listed_models, listed_entries : int
+        Further backend servers, which share the engines' addresses, further models, and further
+        entry VMs, which share the last entry daemon's address.
     settings : dict
         Settings that replace or extend the generated ones, section by section.
     """
@@ -60,14 +64,15 @@
     plains: int = 0
     versions: tuple[str, ...] = ("1",)
     workspaces: tuple[str, ...] = ("w1", "w2")
-    workspace_limits: dict[str, int] = {}
+    workspace_limits: dict[str, int] = msgspec.field(default_factory=HIGH_LIMITS.copy)
     data_centres: tuple[str, ...] = ("dc-a", "dc-b", "dc-c")
     engine_options: tuple[str, ...] = ()
     plain_options: tuple[str, ...] = ()
-    plugins: tuple[str, ...] = ("http_engine", "sequential_judge")
+    plugins: tuple[str, ...] = PLUGINS
     settings: dict[str, Any] = {}
     listed_engines: int = 0
     listed_models: int = 0
+    listed_entries: int = 0
     peer_links: bool = False
     engine_links: bool = False
     platform: bool = False
@@ -215,6 +220,11 @@
         """Return the state replica that leads, as soon as one does."""
         return wait_for(self._find_leader, READY_TIMEOUT_S)
 
+    def follower(self) -> Daemon:
+        """Return a state replica that does not lead."""
+        leader = self.leader()
+        return next(daemon for daemon in self.states if daemon is not leader)
+
     def _find_leader(self) -> Daemon | None:
         for daemon in self.states:
             if daemon.running.exit_code is None and daemon.metric(_LEADS) == 1:
@@ -330,7 +340,7 @@
             "roles": kinds[vm],
             "listen": listens[vm],
             "state_replicas": [peers[name] for name in kinds if "state" in kinds[name]],
-            "entry_vms": [peers[name] for name in kinds if "entry" in kinds[name]],
+            "entry_vms": self._entry_vms([peers[n] for n in kinds if "entry" in kinds[n]]),
             "workspaces": [
                 {"id": name, "key_sha256": key_digest(name), **options.workspace_limits}
                 for name in options.workspaces
@@ -356,6 +366,13 @@
             cfg["platform"] = {"live_list": self.platform_address, "poll": "200ms"}
         return merge(cfg, options.settings)
 
+    def _entry_vms(self, peers: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        listed = [
+            peers[-1] | {"vm": f"listed-{i}", "data_centre": self._data_centre(i)}
+            for i in range(self.options.listed_entries)
+        ]
+        return peers + listed
+
     def _data_centre(self, index: int) -> str:
         return self.options.data_centres[index % len(self.options.data_centres)]
 
