--- a/packages/kernel/src/nutmegdrum/leader.py
+++ b/packages/kernel/src/nutmegdrum/leader.py
@@ -11,6 +11,7 @@
 from nutmegdrum.draining import Drains, Instance
 from nutmegdrum.fleet import Fleet, LiveList, VmState
 from nutmegdrum.judging import JudgeFactory
+from nutmegdrum.limit_shares import LimitShares
 from nutmegdrum.loading import SpareCapacity
 from nutmegdrum.messages import LoadReport, OrderKind, OrderStatus
 from nutmegdrum.moves import Move, MoveKind, MoveState
@@ -31,7 +32,7 @@
 from nutmegdrum.settings import Settings
 from nutmegdrum.trials import Trials
 from nutmegdrum.view import HeartbeatAnswer, HeartbeatReport, QuarantineView, View
-from nutmegdrum.viewbuilder import ViewNumbering, build_view
+from nutmegdrum.viewbuilder import ViewSource
 
 SETTLE_MARGIN_MS = 1_000
 """Time beyond all leases after which entry VMs have surely stopped, in ms."""
@@ -92,12 +93,13 @@
         self._releases: Releases = state.parts[Releases.name]
         self._orders: Orders = state.parts[Orders.name]
         self._quarantines = quarantines
-        self._numbering = ViewNumbering(fencing)
+        self._views = ViewSource(fencing, int(cfg.moves.grant_lease))
         self._weights: dict[tuple[ModelName, VersionName], Weights | None] = {}
         self._urgent: list[Command] = []
         self._recorder = ServiceRecorder(now_ms)
         self.fleet = Fleet(cfg.backend_servers)
         self.entries = {peer.vm: EntryObserved() for peer in cfg.entry_vms}
+        self._limit_shares = LimitShares()
         self._trials = Trials(self._releases, judges, cfg.moves)
         self._spare = SpareCapacity(cfg.moves.weigh)
         self._drains = Drains(
@@ -136,11 +138,13 @@
             pause = self._trials.on_trip(trip)
             if pause is not None:
                 self._urgent.append(pause)
-        view = self.view()
+        self._limit_shares.take(report.vm, report.use, now_ms)
+        view = self.view(now_ms)
         return HeartbeatAnswer(
             fresh=fresh,
             lease_ms=int(self._cfg.control.freshness_lease),
             view=None if report.generation == view.generation else view,
+            shares=self._limit_shares.shares(report.vm, len(self.entries), now_ms),
         )
 
     def on_load_report(self, now_ms: ElapsedMs, backend: BackendId, report: LoadReport) -> None:
@@ -164,12 +168,9 @@
         """Take in a version's size and the weight store's rate."""
         self._weights[needed.model, needed.version] = weights
 
-    def view(self) -> View:
-        """Return the view as of now, numbered."""
-        grant_ms = int(self._cfg.moves.grant_lease)
-        quarantines = self._quarantines()
-        view = build_view(self._state, self.fleet, grant_ms, quarantines=quarantines)
-        return self._numbering.number(view)
+    def view(self, now_ms: ElapsedMs = ElapsedMs(0)) -> View:
+        """Return the view as of `now_ms`, numbered."""
+        return self._views.view(now_ms, self._state, self.fleet, self._quarantines())
 
     def observed(self, now_ms: ElapsedMs, wall_ms: WallMs) -> Observed:
         """Return what reports need beside the state."""
--- a/packages/kernel/src/nutmegdrum/releases.py
+++ b/packages/kernel/src/nutmegdrum/releases.py
@@ -158,6 +158,11 @@
         Models that are served from the start.
     plain_services : sequence of ServiceName
         Plain services, each of them known as a model of its own name.
+
+    Attributes
+    ----------
+    revision : int
+        Number that rises with each command on this replica; no part of the state.
     """
 
     name = "releases"
@@ -171,6 +176,7 @@
     )
 
     def __init__(self, models: Sequence[ModelSettings], plain_services: Sequence[ServiceName] = ()):
+        self.revision = 0
         self.notes: dict[NoteNumber, NoteRecord] = {}
         self.models: dict[ModelName, ModelState] = {}
         self.moves: dict[MoveId, Move] = {}
@@ -205,6 +211,7 @@
 
     def apply(self, ctx: Context, command: Any) -> Answer:
         """Apply one of the part's commands."""
+        self.revision += 1
         return self._handlers[type(command)](ctx, command)
 
     def snapshot(self) -> Any:
@@ -217,6 +224,7 @@
 
     def restore(self, state: bytes) -> None:
         """Replace notes, models and moves by the encoded ones."""
+        self.revision += 1
         decoded = msgspec.msgpack.decode(state, type=_State)
         self.notes = {record.number: record for record in decoded.notes}
         self.models = {model.name: model for model in decoded.models}
