Let a new leader conclude nothing from load reports that it has not got

Cause: a leader without load reports ended withdrawals at once, began trials on the first report and would predict late moves; a dead backend server held up an added adapter for ever. Seen failing first: TestNewLeader, all three. Ruled out: waiting for all reports without end, as a dead backend server never sends one; after 10 s the leader decides without. Conclusion: only taking back does not wait.

--- a/packages/kernel/src/nutmegdrum/leader.py
+++ b/packages/kernel/src/nutmegdrum/leader.py
@@ -25,7 +25,7 @@
     ready_backends,
     remaining_loads,
 )
-from nutmegdrum.releases import AdvanceMove, PredictLate, Releases
+from nutmegdrum.releases import AdvanceMove, PredictLate, Releases, TakeBack
 from nutmegdrum.reports import Observed
 from nutmegdrum.schedule import Times, Weights, load_time_ms, loads_up_to, predicted_late
 from nutmegdrum.service_log import ServiceRecorder, VmService
@@ -34,6 +34,9 @@
 from nutmegdrum.view import HeartbeatAnswer, HeartbeatReport, QuarantineView, View
 from nutmegdrum.viewbuilder import ViewSource
 
+INFORMED_MS = 10_000
+"""Time after which a new leader decides without the load reports that are missing, in ms."""
+
 SETTLE_MARGIN_MS = 1_000
 """Time beyond all leases after which entry VMs have surely stopped, in ms."""
 
@@ -89,6 +92,7 @@
         quarantines: Callable[[], Sequence[QuarantineView]] = tuple,
     ):
         self._cfg = cfg
+        self._began_ms = now_ms
         self._state = state
         self._releases: Releases = state.parts[Releases.name]
         self._orders: Orders = state.parts[Orders.name]
@@ -204,6 +208,8 @@
             del self.entries[vm]
 
     def _advance_moves(self, now_ms: ElapsedMs, times: Times) -> list[Command]:
+        if not self._informed(now_ms):
+            return self._take_back_only(times)
         remaining = remaining_loads(self._releases, self.fleet)
         commands: list[Command] = []
         for move in self._releases.open_moves():
@@ -216,13 +222,27 @@
                 commands.append(PredictLate(move=move.id, predicted=predicted))
         return commands
 
+    def _informed(self, now_ms: ElapsedMs) -> bool:
+        """Return whether load reports say enough; those that are missing may never come."""
+        return now_ms - self._began_ms >= INFORMED_MS or all(
+            member.reachable(now_ms)
+            for member in self.fleet.members.values()
+            if not (member.leaving or member.gone)
+        )
+
+    def _take_back_only(self, times: Times) -> list[Command]:
+        under_trial = (MoveState.TRIAL, MoveState.BAKING)
+        moves = [move for move in self._releases.open_moves() if move.state in under_trial]
+        decided = [self._trials.decide(move, times, 0, carried=False) for move in moves]
+        return [command for command in decided if isinstance(command, TakeBack)]
+
     def _next_command(
         self, move: Move, now_ms: ElapsedMs, times: Times, load_ms: int
     ) -> Command | None:
         if move.state is MoveState.PLANNED:
             return _step(move, MoveState.LOADING)
         if move.kind is MoveKind.ADD:
-            return _step(move, MoveState.DONE) if self._added(move) else None
+            return _step(move, MoveState.DONE) if self._added(move, now_ms) else None
         if move.kind is MoveKind.WITHDRAW:
             return self._next_withdrawal(move, now_ms)
         if move.state is MoveState.LOADING:
@@ -240,10 +260,10 @@
         reachable = [m for m in self.fleet.serving(move.service) if m.reachable(now_ms)]
         return 0 < backends_required(move.share_steps[step], len(reachable)) <= ready
 
-    def _added(self, move: Move) -> bool:
+    def _added(self, move: Move, now_ms: ElapsedMs) -> bool:
         model = self._releases.models[move.model]
         version = move.version or model.settled
-        members = self.fleet.serving(move.service)
+        members = [m for m in self.fleet.serving(move.service) if m.reachable(now_ms)]
         return bool(members) and all(
             any(
                 (v.model, v.version, v.adapter) == (move.model, version, move.adapter)
@@ -256,7 +276,7 @@
         holding = [
             Instance(backend, version)
             for backend, member in self.fleet.members.items()
-            if not (member.leaving or member.gone)
+            if member.reachable(now_ms) and not (member.leaving or member.gone)
             for version in member.loaded
             if version.model == move.model and move.adapter in ("", version.adapter)
         ]
--- a/packages/kernel/tests/test_leader.py
+++ b/packages/kernel/tests/test_leader.py
@@ -131,3 +131,50 @@
             world.leader.on_live_list(live)
         leaving = [backend.id for backend in world.leader.view().backends if backend.leaving]
         assert leaving == ["b0"]
+
+
+class TestNewLeader:
+    """A leader that has heard of no backend server yet must not conclude anything from that."""
+
+    def report(self, world, backend, *versions):
+        loaded = [LoadedVersion("m", version) for version in versions]
+        report = LoadReport(sequence=1, running=0, queued=0, slots=16, loaded=loaded)
+        world.leader.on_load_report(world.now, backend, report)
+
+    def states(self, world):
+        return {move.state.value for move in world.state.parts["releases"].moves.values()}
+
+    def test_withdrawal_is_not_done_before_load_reports(self):
+        world = World()
+        entry = {"model": "m", "complete_by": "2099-01-01T00:00:00Z"}
+        note = msgspec.json.encode({"number": 1, "withdrawn": [entry]})
+        world.apply(SubmitNote(operator="anu", note=note))
+        world.tick()
+        world.tick()
+        assert self.states(world) == {"draining"}
+
+    def test_trial_does_not_begin_on_the_first_report(self):
+        world = World()
+        world.submit()
+        world.tick()
+        self.report(world, "b0", "1", "2")
+        world.tick()
+        world.tick()
+        assert "trial" not in self.states(world)
+        for backend in ("b1", "b2"):
+            self.report(world, backend, "1", "2")
+        world.tick()
+        world.tick()
+        assert self.states(world) == {"trial"}
+
+    def test_dead_servers_are_not_waited_for_without_end(self):
+        world = World()
+        entry = {"model": "m", "adapter": "a", "complete_by": "2099-01-01T00:00:00Z"}
+        note = msgspec.json.encode({"number": 1, "added": [entry]})
+        world.apply(SubmitNote(operator="anu", note=note))
+        for sequence in range(30):
+            loaded = [LoadedVersion("m", "1"), LoadedVersion("m", "1", "a")]
+            report = LoadReport(sequence=sequence, running=0, queued=0, slots=16, loaded=loaded)
+            world.leader.on_load_report(world.now, "b0", report)
+            world.tick()
+        assert self.states(world) == {"done"}
