--- a/packages/kernel/src/nutmegdrum/fleet.py
+++ b/packages/kernel/src/nutmegdrum/fleet.py
@@ -85,9 +85,16 @@
     ----------
     backends : sequence of BackendSettings
         Backend servers that are known from the start.
+
+    Attributes
+    ----------
+    revision : int
+        Number that rises with each change of what views show of backend servers.
     """
 
     def __init__(self, backends: Sequence[BackendSettings]):
+        self.revision = 0
+        self._serving: dict[ServiceName, list[FleetMember]] = {}
         self.members = {cfg.id: FleetMember(cfg=cfg) for cfg in backends}
         self.entry_vms: dict[VmId, ListedVm] = {}
         self._sequence = -1
@@ -102,11 +109,10 @@
         for backend, vm in backends.items():
             member = self.members.get(backend) or self._add(backend, vm)
             member.listed = True
-            member.gone = False
-            member.leaving = vm.state is VmState.LEAVING
+            self._mark(member, leaving=vm.state is VmState.LEAVING, gone=False)
         for backend, member in self.members.items():
             if member.listed and backend not in backends:
-                member.gone = True
+                self._mark(member, leaving=member.leaving, gone=True)
 
     def on_load_report(self, now_ms: ElapsedMs, backend: BackendId, report: LoadReport) -> None:
         """Take in a load report, unless the same or a newer one is known.
@@ -121,16 +127,33 @@
             return
         if older:
             member.restarted_ms = now_ms
+        if report.loaded != member.loaded:
+            self.revision += 1
         member.report = report
         member.reported_ms = now_ms
 
     def serving(self, service: ServiceName) -> list[FleetMember]:
         """Return the backend servers of `service` that stay, in the order of their ids."""
-        return [
-            member
-            for _, member in sorted(self.members.items())
-            if member.cfg.service == service and not (member.leaving or member.gone)
-        ]
+        known = self._serving.get(service)
+        if known is None:
+            known = [
+                member
+                for _, member in sorted(self.members.items())
+                if member.cfg.service == service and not (member.leaving or member.gone)
+            ]
+            self._serving[service] = known
+        return known
+
+    def _mark(self, member: FleetMember, leaving: bool, gone: bool) -> None:
+        if (member.leaving, member.gone) == (leaving, gone):
+            return
+        member.leaving = leaving
+        member.gone = gone
+        self._changed()
+
+    def _changed(self) -> None:
+        self.revision += 1
+        self._serving = {}
 
     def _add(self, backend: BackendId, vm: ListedVm) -> FleetMember:
         cfg = BackendSettings(
@@ -141,4 +164,5 @@
             checks_fencing=False,
         )
         self.members[backend] = FleetMember(cfg=cfg)
+        self._changed()
         return self.members[backend]
--- a/packages/kernel/src/nutmegdrum/loading.py
+++ b/packages/kernel/src/nutmegdrum/loading.py
@@ -12,6 +12,9 @@
 
 PERMILLE = 1_000
 
+SAME_LOSS_MS = 30_000
+"""Time in which suspicions of one backend server are the same loss, in ms."""
+
 MAX_PARALLEL = 2
 """Loads of settled versions at a time; more would share the store's rate and all end late."""
 
@@ -61,6 +64,7 @@
     def __init__(self, weigh: Weigh):
         self._limits = LIMITS[weigh]
         self._lost_ms: dict[BackendId, ElapsedMs] = {}
+        self._heard_ms: dict[BackendId, ElapsedMs] = {}
         self._silent: set[BackendId] = set()
 
     def planned_ms(self, load_ms: int) -> int:
@@ -68,8 +72,14 @@
         return load_ms * self._limits.allowance_permille // PERMILLE
 
     def on_loss(self, now_ms: ElapsedMs, backend: BackendId) -> None:
-        """Take in that an entry VM lost contact with a backend server."""
-        self._lost_ms[backend] = now_ms
+        """Take in that an entry VM suspects a backend server.
+
+        One that stays suspected, or is so again and again, holds up no loads for that.
+        """
+        heard_ms = self._heard_ms.get(backend)
+        self._heard_ms[backend] = now_ms
+        if heard_ms is None or now_ms - heard_ms > SAME_LOSS_MS:
+            self._lost_ms[backend] = now_ms
 
     def update(self, now_ms: ElapsedMs, fleet: Fleet) -> None:
         """Take in which backend servers stopped to report, and forget old losses."""
@@ -79,7 +89,7 @@
             if member.report is not None and not member.reachable(now_ms)
         }
         for backend in silent - self._silent:
-            self._lost_ms[backend] = now_ms
+            self.on_loss(now_ms, backend)
         self._silent = silent
         hold_ms = self._limits.hold_ms
         self._lost_ms = {b: t for b, t in self._lost_ms.items() if now_ms - t < hold_ms}
