--- a/packages/kernel/src/nutmegdrum/attempts.py
+++ b/packages/kernel/src/nutmegdrum/attempts.py
@@ -92,9 +92,10 @@
         """Count an attempt that begins."""
         req = session.stream.req
         backend = attempt.choice.backend.id
-        load_permille = int(self._routing.load(backend) * PERMILLE)
+        load = self._routing.load(backend)
+        self._suspicion.on_load(backend, load)
         attempt.attempted = Attempted(
-            req.model, attempt.choice.version, req.adapter, route_of(req), load_permille
+            req.model, attempt.choice.version, req.adapter, route_of(req), int(load * PERMILLE)
         )
         self._watch.began(attempt.attempted)
         self._routing.started(backend, attempt.isolated)
@@ -134,8 +135,11 @@
         return None
 
     def _take(self, session: Session, attempt: Attempt, items: Batch) -> None:
-        self._observe(attempt)
         stream = session.stream
+        if not stream.tokens:
+            waited_ms = self._clock.elapsed_ms() - session.began_ms
+            metrics.FIRST_TOKEN_S.observe(waited_ms / _MS_PER_S)
+        self._observe(attempt)
         dropped = stream.dropped
         if stream.accept(attempt.number, items):
             self._submit(session)
--- a/packages/kernel/src/nutmegdrum/session.py
+++ b/packages/kernel/src/nutmegdrum/session.py
@@ -100,7 +100,8 @@
         self.unreported: Loss | None = None
         self.readers = 0
         self.lost_at_ms: ElapsedMs | None = None
-        self.idle_since = self.last_output_ms = self.confirmed_ms = clock.elapsed_ms()
+        self.began_ms = clock.elapsed_ms()
+        self.idle_since = self.last_output_ms = self.confirmed_ms = self.began_ms
         self._clock = clock
         self._gates: list[threading.Lock] = []
 
@@ -108,12 +109,14 @@
         """Return a lock that is released whenever there is something new for readers."""
         gate = threading.Lock()
         gate.acquire()
-        self._gates = [*self._gates, gate]
+        with self.lock:
+            self._gates = [*self._gates, gate]
         return gate
 
     def remove_gate(self, gate: threading.Lock) -> None:
         """Forget a reader's lock."""
-        self._gates = [other for other in self._gates if other is not gate]
+        with self.lock:
+            self._gates = [other for other in self._gates if other is not gate]
 
     def wake(self) -> None:
         """Let all readers look again."""
