--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -18,10 +18,13 @@
 from nutmegdrum.heartbeat import Heartbeater, PeerViews
 from nutmegdrum.plain import PlainPath
 from nutmegdrum.plugins import Event, Kind, Registry
+from nutmegdrum.retries import RetryBudget
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import RpcClient
 from nutmegdrum.service_tally import ServiceTally
 from nutmegdrum.settings import Settings
+from nutmegdrum.shutdown import Shutdown
+from nutmegdrum.shutdown_gate import ShutdownGate
 from nutmegdrum.state_client import StateClient
 from nutmegdrum.streaming import Streaming
 from nutmegdrum.ticker import Ticker
@@ -82,8 +85,10 @@
         )
         self.generations = self.streaming.generations
         self.journal = self.streaming.journal
+        budget = RetryBudget()
+        registry.listen(Event.BACKEND_LOST, lambda **_: budget.on_recovery(clock.elapsed_ms()))
         claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim)
-        self.plain = PlainPath(cfg, clock, routing, self.guard, claims)
+        self.plain = PlainPath(cfg, clock, routing, self.guard, claims, budget)
         peers = PeerViews(cfg, rpc, rng, cfg.entry_vms)
         self.heartbeater = Heartbeater(
             cfg,
@@ -102,9 +107,11 @@
         self._plain_ticker = Ticker("plain", PLAIN_TICK_MS, self.plain.tick)
         poller = CachePoller(protocol, self.router)
         self._cache_ticker = Ticker("cache-events", CACHE_POLL_MS, poller.tick)
+        shutdown = Shutdown(cfg.callers.shutdown_notice, cfg.callers.shutdown_timeout)
+        self._gate = ShutdownGate(Gateway(self), clock, shutdown, self.plain.pending_claims)
         self._listener = HttpListener(
             cfg.listen.callers,
-            Gateway(self),
+            self._gate,
             threads=cfg.callers.max_streams + cfg.callers.spare_threads,
             idle_timeout_ms=cfg.callers.idle_timeout,
             max_body=cfg.callers.max_body,
@@ -138,7 +145,8 @@
         return "" if self.heartbeater.has_view() else "no view of the state yet"
 
     def drain(self) -> None:
-        """Wait until streams have ended, at most as long as the settings say."""
+        """Wait until requests have ended, at most as long as the settings say."""
+        self._gate.drain()
 
     def stop(self) -> None:
         """Close the callers' listener."""
