--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	$(PY) -m pytest
 
 bench: install
-	$(PY) -m nutmegdrum_testing.bench
+	$(PY) -m nutmegdrum_testing.bench --json run/bench.json
 
 lint: install
 	.venv/bin/black --check --quiet .
--- a/packages/testing/src/nutmegdrum_testing/bench/__main__.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/__main__.py
@@ -29,6 +29,9 @@
 }
 
 
+_BAD = (Status.MISSED, Status.FAILED)
+
+
 def run_measure(name: str, sizes: Sizes) -> Iterator[Figure]:
     """Yield the figures of one measure, with their bounds judged."""
     module_name = f"nutmegdrum_testing.bench.{name}"
@@ -89,9 +92,21 @@
             results[name].append(figure)
             print(line_of(figure), flush=True)
     if args.json:
+        args.json.parent.mkdir(parents=True, exist_ok=True)
         args.json.write_bytes(msgspec.json.format(msgspec.json.encode(results)))
-    bad = (Status.MISSED, Status.FAILED)
-    return int(any(figure.status in bad for figures in results.values() for figure in figures))
+    return _summarise(results)
+
+
+def _summarise(results: dict[str, list[Figure]]) -> int:
+    listed = [
+        f"{name}: {line_of(figure)}"
+        for name, figures in results.items()
+        for figure in figures
+        if figure.status in (*_BAD, Status.NOT_RUN)
+    ]
+    print("\nmissed, failed or not run:" if listed else "\nall bounds hold")
+    print("\n".join(listed))
+    return int(any(f.status in _BAD for figures in results.values() for f in figures))
 
 
 if __name__ == "__main__":
--- a/packages/testing/src/nutmegdrum_testing/bench/overhead.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/overhead.py
@@ -85,6 +85,8 @@
         note="; ".join(through.details[:2]),
     )
     yield from _latency(through, direct, load)
+    rate = through.tokens / through.elapsed_s
+    yield Figure(name=f"tokens a second, {load}", value=rate, unit="1/s")
     tokens = max(through.tokens, 1)
     cpu_us = (after.cpu_s - before.cpu_s) * _US_PER_S / tokens
     yield Figure(name=f"processor time a token, {load}", value=cpu_us, unit="µs")
