Count a death under an isolated try however soon it follows the last one

Cause: reports of one death by several VMs were told apart from a second death by backend server and time alone, so a culprit whose isolated try began on the same backend server within 5 s of its first crash killed a third one. A focused test failed first and now passes. Ruled out: a flaw of the test.

--- a/packages/coord/src/nutmegdrum_coord/quarantine.py
+++ b/packages/coord/src/nutmegdrum_coord/quarantine.py
@@ -194,10 +194,10 @@
     def _report(self, ctx: Context, command: ReportCrash) -> QuarantineAnswer:
         crash = _Crash(command.backend, command.tokens, ctx.at)
         earlier = self._crashes.pop(command.fingerprint, [])
-        if any(_same(crash, other) for other in earlier):
+        isolated = self._isolated(command)
+        if not isolated and any(_same(crash, other) for other in earlier):
             self._crashes[command.fingerprint] = earlier
             return SuspectNoted()
-        isolated = self._isolated(command)
         if isolated:
             del self._tries[command.backend]
         crashes = [*earlier, crash]
@@ -214,7 +214,9 @@
 
     def _isolated(self, command: ReportCrash) -> bool:
         reserved = self._tries.get(command.backend)
-        return reserved is not None and reserved.fingerprint == command.fingerprint
+        if reserved is None:
+            return False
+        return (reserved.fingerprint, reserved.vm) == (command.fingerprint, command.vm)
 
     def _shared(self, command: ReportCrash, at: LogMs) -> bool:
         """Return whether another suspect was lost with the same backend server just now."""
