--- a/packages/kernel/src/nutmegdrum/leader.py
+++ b/packages/kernel/src/nutmegdrum/leader.py
@@ -25,14 +25,17 @@
     ready_backends,
     remaining_loads,
 )
-from nutmegdrum.releases import AdvanceMove, PredictLate, Releases
+from nutmegdrum.releases import AdvanceMove, PredictLate, Releases, TakeBack
 from nutmegdrum.reports import Observed
 from nutmegdrum.schedule import Times, Weights, load_time_ms, loads_up_to, predicted_late
 from nutmegdrum.service_log import ServiceRecorder, VmService
 from nutmegdrum.settings import Settings
 from nutmegdrum.trials import Trials
 from nutmegdrum.view import HeartbeatAnswer, HeartbeatReport, QuarantineView, View
-from nutmegdrum.viewbuilder import ViewNumbering, build_view
+from nutmegdrum.viewbuilder import ViewSource
+
+INFORMED_MS = 10_000
+"""Time after which a new leader decides without the load reports that are missing, in ms."""
 
 SETTLE_MARGIN_MS = 1_000
 """Time beyond all leases after which entry VMs have surely stopped, in ms."""
@@ -89,11 +92,12 @@
         quarantines: Callable[[], Sequence[QuarantineView]] = tuple,
     ):
         self._cfg = cfg
+        self._began_ms = now_ms
         self._state = state
         self._releases: Releases = state.parts[Releases.name]
         self._orders: Orders = state.parts[Orders.name]
         self._quarantines = quarantines
-        self._numbering = ViewNumbering(fencing)
+        self._views = ViewSource(fencing, int(cfg.moves.grant_lease))
         self._weights: dict[tuple[ModelName, VersionName], Weights | None] = {}
         self._urgent: list[Command] = []
         self._recorder = ServiceRecorder(now_ms)
@@ -139,7 +143,7 @@
             if pause is not None:
                 self._urgent.append(pause)
         self._limit_shares.take(report.vm, report.use, now_ms)
-        view = self.view()
+        view = self.view(now_ms)
         return HeartbeatAnswer(
             fresh=fresh,
             lease_ms=int(self._cfg.control.freshness_lease),
@@ -168,12 +172,9 @@
         """Take in a version's size and the weight store's rate."""
         self._weights[needed.model, needed.version] = weights
 
-    def view(self) -> View:
-        """Return the view as of now, numbered."""
-        grant_ms = int(self._cfg.moves.grant_lease)
-        quarantines = self._quarantines()
-        view = build_view(self._state, self.fleet, grant_ms, quarantines=quarantines)
-        return self._numbering.number(view)
+    def view(self, now_ms: ElapsedMs = ElapsedMs(0)) -> View:
+        """Return the view as of `now_ms`, numbered."""
+        return self._views.view(now_ms, self._state, self.fleet, self._quarantines())
 
     def observed(self, now_ms: ElapsedMs, wall_ms: WallMs) -> Observed:
         """Return what reports need beside the state."""
@@ -207,6 +208,8 @@
             del self.entries[vm]
 
     def _advance_moves(self, now_ms: ElapsedMs, times: Times) -> list[Command]:
+        if not self._informed(now_ms):
+            return self._take_back_only(times)
         remaining = remaining_loads(self._releases, self.fleet)
         commands: list[Command] = []
         for move in self._releases.open_moves():
@@ -219,13 +222,27 @@
                 commands.append(PredictLate(move=move.id, predicted=predicted))
         return commands
 
+    def _informed(self, now_ms: ElapsedMs) -> bool:
+        """Return whether load reports say enough; those that are missing may never come."""
+        return now_ms - self._began_ms >= INFORMED_MS or all(
+            member.reachable(now_ms)
+            for member in self.fleet.members.values()
+            if not (member.leaving or member.gone)
+        )
+
+    def _take_back_only(self, times: Times) -> list[Command]:
+        under_trial = (MoveState.TRIAL, MoveState.BAKING)
+        moves = [move for move in self._releases.open_moves() if move.state in under_trial]
+        decided = [self._trials.decide(move, times, 0, carried=False) for move in moves]
+        return [command for command in decided if isinstance(command, TakeBack)]
+
     def _next_command(
         self, move: Move, now_ms: ElapsedMs, times: Times, load_ms: int
     ) -> Command | None:
         if move.state is MoveState.PLANNED:
             return _step(move, MoveState.LOADING)
         if move.kind is MoveKind.ADD:
-            return _step(move, MoveState.DONE) if self._added(move) else None
+            return _step(move, MoveState.DONE) if self._added(move, now_ms) else None
         if move.kind is MoveKind.WITHDRAW:
             return self._next_withdrawal(move, now_ms)
         if move.state is MoveState.LOADING:
@@ -243,10 +260,10 @@
         reachable = [m for m in self.fleet.serving(move.service) if m.reachable(now_ms)]
         return 0 < backends_required(move.share_steps[step], len(reachable)) <= ready
 
-    def _added(self, move: Move) -> bool:
+    def _added(self, move: Move, now_ms: ElapsedMs) -> bool:
         model = self._releases.models[move.model]
         version = move.version or model.settled
-        members = self.fleet.serving(move.service)
+        members = [m for m in self.fleet.serving(move.service) if m.reachable(now_ms)]
         return bool(members) and all(
             any(
                 (v.model, v.version, v.adapter) == (move.model, version, move.adapter)
@@ -259,7 +276,7 @@
         holding = [
             Instance(backend, version)
             for backend, member in self.fleet.members.items()
-            if not (member.leaving or member.gone)
+            if member.reachable(now_ms) and not (member.leaving or member.gone)
             for version in member.loaded
             if version.model == move.model and move.adapter in ("", version.adapter)
         ]
