Show members, leader and term in `state`; drop settings that nothing reads

Three settings (write_timeout, first_share_ppm, weight_store_bytes_per_s) had no reader: the listener has one time-out, notes bound the first share, and the platform tells its rate.

--- a/packages/kernel/src/nutmegdrum/gateway.py
+++ b/packages/kernel/src/nutmegdrum/gateway.py
@@ -9,6 +9,7 @@
 import msgspec
 from nutmegdrum_coord import verdict as v
 
+from nutmegdrum import metrics
 from nutmegdrum.admission import AdmissionRequest
 from nutmegdrum.completion_path import CompletionPath, count_refusal
 from nutmegdrum.problems import problem_headers, problem_of
@@ -55,10 +56,13 @@
         headers = request_headers(environ)
         workspace = self._workspaces.authenticate(headers.get("authorization", ""))
         try:
-            return self._serve(workspace, headers, environ, start_response)
+            answer = self._serve(workspace, headers, environ, start_response)
         except v.Refusal as refusal:
             self._entry.tally.refused(workspace.id, refusal.verdict)
+            metrics.REQUESTS.labels(environ["REQUEST_METHOD"], "refused").inc()
             raise
+        metrics.REQUESTS.labels(environ["REQUEST_METHOD"], "answered").inc()
+        return answer
 
     def _serve(
         self,
--- a/packages/kernel/src/nutmegdrum/metrics.py
+++ b/packages/kernel/src/nutmegdrum/metrics.py
@@ -4,7 +4,7 @@
 
 _LATENCY_BUCKETS_S = (0.005, 0.02, 0.057, 0.1, 0.25, 0.5, 1.0, 1.6, 2.0, 5.0, 10.0, 60.0)
 
-REQUESTS = Counter("nutmegdrum_requests", "Requests by route and outcome", ["route", "outcome"])
+REQUESTS = Counter("nutmegdrum_requests", "Requests by method and outcome", ["method", "outcome"])
 REFUSALS = Counter("nutmegdrum_refusals", "Refusals by reason and verdict", ["reason", "verdict"])
 STREAMS = Gauge("nutmegdrum_streams", "Streams that run now")
 TOKENS = Counter("nutmegdrum_tokens", "Tokens that were sent to callers")
--- a/packages/kernel/src/nutmegdrum/queries.py
+++ b/packages/kernel/src/nutmegdrum/queries.py
@@ -6,6 +6,8 @@
 from nutmegdrum_coord.ids import (
     BackendId,
     DataCentre,
+    FencingNumber,
+    IncarnationId,
     LogPosition,
     ModelName,
     NoteNumber,
@@ -238,9 +240,20 @@
     what: str
 
 
+class MemberStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Member of the replicated log; one that does not vote is catching up."""
+
+    vm: VmId
+    incarnation: IncarnationId
+    votes: bool
+
+
 class StateAnswer(QueryAnswer, frozen=True, kw_only=True):
     """State as of one log position."""
 
+    leader: VmId = VmId("")
+    term: FencingNumber = FencingNumber(0)
+    members: list[MemberStatus] = []
     position: LogPosition
     newest: NoteNumber
     models: list[ModelStatus]
--- a/packages/kernel/src/nutmegdrum/settings.py
+++ b/packages/kernel/src/nutmegdrum/settings.py
@@ -142,7 +142,6 @@
     max_body: Size = Size(4 * _MIB)
     max_headers: Size = Size(32 * _KIB)
     idle_timeout: Duration = Duration(30_000)
-    write_timeout: Duration = Duration(10_000)
     shutdown_notice: Duration = Duration(3_000)
     shutdown_timeout: Duration = Duration(600_000)
 
@@ -188,12 +187,10 @@
     """How new versions receive traffic and are judged."""
 
     weigh: Weigh = Weigh.RESUME_LATENCY
-    first_share_ppm: int = 20_000
     grant_lease: Duration = Duration(1_500)
     step_time: Duration = Duration(20_000)
     bake_time: Duration = Duration(600_000)
     order_deadline: Duration = Duration(30_000)
-    weight_store_bytes_per_s: Size = Size(1 << 30)
 
 
 class Settings(Model):
--- a/packages/kernel/src/nutmegdrum/state_daemon.py
+++ b/packages/kernel/src/nutmegdrum/state_daemon.py
@@ -3,6 +3,7 @@
 import random
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
+import msgspec
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.claims import ClaimRunning, Claims, ClaimUnknown, begin_in
 from nutmegdrum_coord.clock import Clock
@@ -15,7 +16,14 @@
 from nutmegdrum.orders import Orders
 from nutmegdrum.packing import pack, unpack
 from nutmegdrum.plugins import Kind, Registry
-from nutmegdrum.queries import ClaimKnown, ClaimQuery, decode_query, encode_query
+from nutmegdrum.queries import (
+    ClaimKnown,
+    ClaimQuery,
+    MemberStatus,
+    StateAnswer,
+    decode_query,
+    encode_query,
+)
 from nutmegdrum.releases import Releases, SubmitNote
 from nutmegdrum.reports import answer_query
 from nutmegdrum.rpc import RpcClient
@@ -153,8 +161,22 @@
             answer = answer_query(self._shared.state, observed, decoded)
         if fresh and not self._log.is_leader():
             raise v.Refusal(v.NOT_LEADER)
+        if isinstance(answer, StateAnswer):
+            answer = self._with_members(answer)
         return encode_query(answer)
 
+    def _with_members(self, answer: StateAnswer) -> StateAnswer:
+        members = self._log.members()
+        return msgspec.structs.replace(
+            answer,
+            leader=self.cfg.vm.id,
+            term=self._log.fencing_number(),
+            members=[
+                MemberStatus(vm=m.vm, incarnation=m.incarnation, votes=m in members.voters)
+                for m in members.everyone()
+            ],
+        )
+
     def _known_claim(self, query: ClaimQuery) -> ClaimKnown:
         """Return what this replica's state and the rest of its log say of a request.
 
--- a/packages/kernel/tests/test_move_processes.py
+++ b/packages/kernel/tests/test_move_processes.py
@@ -1,17 +1,11 @@
-import datetime
-import json
-import subprocess
-import sys
-from pathlib import Path
-
 import pytest
 from nutmegdrum_testing.deployment import Deployment, Options
 from nutmegdrum_testing.faults import Fault, FaultKind
+from nutmegdrum_testing.operators import Operator
 from nutmegdrum_testing.traffic import Traffic
 from nutmegdrum_testing.waiting import wait_for
 
 TIMEOUT_S = 120.0
-COMPLETE_BY = datetime.timedelta(seconds=90)
 FRESHNESS_LEASE_MS = 2_000
 MAX_BAD_SHARE = 0.1
 OPTIONS = Options(
@@ -30,25 +24,9 @@
         yield running
 
 
-def command(deployment, *args):
-    program = str(Path(sys.executable).parent / "nutmegdrum")
-    settings = str(deployment.states[0].settings_file)
-    args = [program, *args, "--settings", settings, "--json"]
-    done = subprocess.run(args, capture_output=True, text=True, check=True)
-    return json.loads(done.stdout)
-
-
-def submit(deployment, version):
-    complete_by = datetime.datetime.now(datetime.UTC) + COMPLETE_BY
-    change = {"model": "m", "version": version, "complete_by": complete_by.isoformat()}
-    path = deployment.folder / "note.json"
-    path.write_text(json.dumps({"number": 1, "changed": [change]}))
-    return command(deployment, "note", "submit", str(path))
-
-
-def ended_move(deployment):
-    (move,) = command(deployment, "report")["moves"]
-    return move if move["ended"] else None
+@pytest.fixture
+def operator(deployment):
+    return Operator(deployment)
 
 
 def requests_to(deployment, version):
@@ -71,30 +49,32 @@
 
 
 class TestMove:
-    def test_good_version_gets_all_traffic_in_time(self, deployment):
+    def test_good_version_gets_all_traffic_in_time(self, deployment, operator):
         with Traffic(deployment.caller(), "m") as traffic:
-            submit(deployment, "2")
-            move = wait_for(lambda: ended_move(deployment), TIMEOUT_S)
+            operator.change_version("2")
+            move = wait_for(operator.ended_move, TIMEOUT_S)
         assert (move["state"], move["late"]) == ("done", False)
         assert set(traffic.ended) == {"done"}
         before = requests_to(deployment, "1")
         deployment.caller().generate("m", "after the move", 3).check(3)
         assert requests_to(deployment, "1") == before
 
-    def test_bad_version_is_taken_back_and_callers_do_not_notice(self, deployment):
+    def test_bad_version_is_taken_back_and_callers_do_not_notice(self, deployment, operator):
         set_faults(deployment, Fault(kind=FaultKind.ERROR, version="2"))
         with Traffic(deployment.caller(), "m") as traffic:
-            submit(deployment, "2")
-            move = wait_for(lambda: ended_move(deployment), TIMEOUT_S)
+            operator.change_version("2")
+            move = wait_for(operator.ended_move, TIMEOUT_S)
         assert move["state"] == "taken back"
         assert move["reason"]
         assert requests_to(deployment, "2") <= MAX_BAD_SHARE * requests_served(deployment)
         assert set(traffic.ended) == {"done"}
 
-    def test_entry_vm_that_is_cut_off_stops_sending_to_a_version_under_trial(self, deployment):
+    def test_entry_vm_that_is_cut_off_stops_sending_to_a_version_under_trial(
+        self, deployment, operator
+    ):
         cut_off = deployment.entries[1]
         with Traffic(deployment.caller(), "m"):
-            submit(deployment, "2")
+            operator.change_version("2")
             wait_for(lambda: requests_to(deployment, "2") > 0, TIMEOUT_S)
             for replica in deployment.states:
                 deployment.link(cut_off.vm, replica.vm).silence()
--- a/packages/kernel/tests/test_order_processes.py
+++ b/packages/kernel/tests/test_order_processes.py
@@ -1,17 +1,12 @@
-import datetime
 import itertools
-import json
-import subprocess
-import sys
-from pathlib import Path
 
 import pytest
 from nutmegdrum_testing.deployment import Deployment, Options
+from nutmegdrum_testing.operators import Operator
 from nutmegdrum_testing.traffic import Traffic
 from nutmegdrum_testing.waiting import wait_for
 
 TIMEOUT_S = 120.0
-COMPLETE_BY = datetime.timedelta(seconds=90)
 
 
 def options(*engine_options):
@@ -30,14 +25,6 @@
         yield running
 
 
-def command(deployment, *args):
-    program = str(Path(sys.executable).parent / "nutmegdrum")
-    settings = str(deployment.states[0].settings_file)
-    args = [program, *args, "--settings", settings, "--json"]
-    done = subprocess.run(args, capture_output=True, text=True, check=True)
-    return json.loads(done.stdout)
-
-
 def leader(deployment, among):
     return next((vm for vm in among if vm.metric("nutmegdrum_log_leads") == 1), None)
 
@@ -50,18 +37,10 @@
     return [version["version"] for version in engine.control.get("/v1/load")["loaded"]]
 
 
-def ended(deployment):
-    (move,) = command(deployment, "report")["moves"]
-    return move if move["ended"] else None
-
-
 class TestFrozenLeader:
     def test_its_orders_never_follow_those_of_its_successor(self, deployment):
-        complete_by = datetime.datetime.now(datetime.UTC) + COMPLETE_BY
-        change = {"model": "m", "version": "2", "complete_by": complete_by.isoformat()}
-        path = deployment.folder / "note.json"
-        path.write_text(json.dumps({"number": 1, "changed": [change]}))
-        command(deployment, "note", "submit", str(path))
+        operator = Operator(deployment)
+        operator.change_version("2")
         with Traffic(deployment.caller(), "m") as traffic:
             wait_for(lambda: any(orders(engine) for engine in deployment.engines), TIMEOUT_S)
             frozen = leader(deployment, deployment.states)
@@ -69,7 +48,7 @@
             others = [vm for vm in deployment.states if vm is not frozen]
             wait_for(lambda: leader(deployment, others), TIMEOUT_S)
             frozen.running.resume()
-            move = wait_for(lambda: ended(deployment), TIMEOUT_S)
+            move = wait_for(operator.ended_move, TIMEOUT_S)
         assert move["state"] == "done"
         assert set(traffic.ended) == {"done"}
         for engine in deployment.engines:
