Take a response's head or a part of a line for no silence

The thread that reads all streams waited 50 ms for a token once only the head had come, blocked the other streams meanwhile and took the backend server for silent. Seen failing first: test_head_and_parts_of_lines_are_no_silence (BackendLost silent). TokenSource.next may now return no items.

--- a/packages/kernel/src/nutmegdrum/attempts.py
+++ b/packages/kernel/src/nutmegdrum/attempts.py
@@ -8,7 +8,7 @@
 from nutmegdrum import metrics
 from nutmegdrum.backends import BackendProtocol
 from nutmegdrum.journal_sender import JournalSender
-from nutmegdrum.messages import BackendLost, Finish, GenerationRequest, LossKind
+from nutmegdrum.messages import BackendLost, GenerationRequest, LossKind
 from nutmegdrum.plugins import Event, Registry
 from nutmegdrum.routing_query import Routing
 from nutmegdrum.session import Attempt, Batch, Loss, Session
@@ -128,7 +128,7 @@
         assert source is not None
         try:
             items += source.next(READ_TIMEOUT_MS)
-            while not isinstance(items[-1], Finish) and source.pending():
+            while source.pending():
                 items += source.next(READ_TIMEOUT_MS)
         except BackendLost as loss:
             return loss
--- a/packages/kernel/src/nutmegdrum/backends.py
+++ b/packages/kernel/src/nutmegdrum/backends.py
@@ -20,7 +20,7 @@
     """Open exchange with a backend server that yields one attempt's tokens."""
 
     def next(self, timeout_ms: int) -> list[Token | Finish]:
-        """Return items that have arrived, at least one.
+        """Return items that have arrived; none if only a part of one has.
 
         Raises
         ------
--- a/packages/plugins/src/nutmegdrum_plugins/http_engine.py
+++ b/packages/plugins/src/nutmegdrum_plugins/http_engine.py
@@ -304,7 +304,7 @@
         return self._response is not None and self._exchange.has_bytes()
 
     def next(self, timeout_ms: int) -> list[Token | Finish]:
-        """Return items that have arrived, at least one.
+        """Return items that have arrived; none if only a head or a part of a line has.
 
         Raises
         ------
@@ -314,11 +314,11 @@
         if self._response is None:
             self._response = self._exchange.response(timeout_ms)
             self._check_status()
+            if not self.pending():
+                return []
         self._exchange.limit(timeout_ms)
-        while True:
-            lines = self._read_lines()
-            if lines:
-                return self._decode(lines)
+        lines = self._read_lines()
+        return self._decode(lines) if lines else []
 
     def _check_status(self) -> None:
         status = self._response.status
--- a/packages/plugins/tests/test_http_engine.py
+++ b/packages/plugins/tests/test_http_engine.py
@@ -135,6 +135,14 @@
         source = HttpEngineProtocol().open(engine.settings, CALL, 1_000)
         assert read_all(source) == [Token(0, "a"), Finish(FinishReason.STOP, 1)]
 
+    def test_head_and_parts_of_lines_are_no_silence(self, engines):
+        whole = b'{"index":0,"text":"a"}\n{"finish":"stop","count":1}\n'
+        engine = engines([HEAD, None, chunk(whole[:9]), chunk(whole[9:]), b"0\r\n\r\n"])
+        source = HttpEngineProtocol().open(engine.settings, CALL, 1_000)
+        assert source.next(100) == []
+        engine.hold.set()
+        assert read_all(source) == [Token(0, "a"), Finish(FinishReason.STOP, 1)]
+
 
 class TestConnections:
     def test_reuses_the_connection_of_a_finished_exchange(self, engines):
