--- a/packages/testing/src/nutmegdrum_testing/bench/overhead.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/overhead.py
@@ -17,6 +17,7 @@
 TOKEN_MS = 50
 ENGINES = 2
 HEARTBEAT_MS = 500
+LARGE_LIMITS = {"max_streams": 5_000, "tokens_per_s": 10_000_000, "requests_per_s": 100_000}
 
 _US_PER_S = 1_000_000
 _MS_PER_S = 1_000
@@ -36,11 +37,10 @@
 
 def bench_options(**more: object) -> Options:
     """Return a deployment whose workspaces have limits far above any load here."""
-    limits = {"max_streams": 5_000, "tokens_per_s": 10_000_000, "requests_per_s": 100_000}
     options = Options(
         engines=ENGINES,
         engine_options=("--token-ms", str(TOKEN_MS), "--slots", "2000"),
-        workspace_limits=limits,
+        workspace_limits=LARGE_LIMITS,
     )
     for name, value in more.items():
         setattr(options, name, value)
--- a/packages/testing/src/nutmegdrum_testing/bench/recovery.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/recovery.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from nutmegdrum_testing.bench.figures import Distribution, Figure, Sizes
+from nutmegdrum_testing.bench.overhead import LARGE_LIMITS
 from nutmegdrum_testing.callers import RunningStream
 from nutmegdrum_testing.deployment import MODEL, Backend, Deployment, Options
 from nutmegdrum_testing.faults import Fault, FaultKind
@@ -110,6 +111,7 @@
         entries=3,
         engines=ENGINES,
         engine_links=True,
+        workspace_limits=LARGE_LIMITS,
         engine_options=("--token-ms", str(TOKEN_MS), "--cache-lag-ms", "50"),
     )
     with Deployment(options) as deployment:
--- a/packages/testing/tests/test_bench.py
+++ b/packages/testing/tests/test_bench.py
@@ -1,3 +1,7 @@
+import re
+from pathlib import Path
+
+import msgspec
 import pytest
 from nutmegdrum_testing.arrival_load import Arrivals, Source, run_arrivals
 from nutmegdrum_testing.bench.__main__ import MEASURES, judge, run_measure
@@ -52,6 +56,22 @@
         assert "leader_cost" in MEASURES
 
 
+class TestCommand:
+    def test_one_measure_is_printed_and_written(self, processes, tmp_path):
+        options = ["--only", "leader_cost", "--quick", "--json", str(tmp_path / "run" / "it.json")]
+        process = processes.start_module("nutmegdrum_testing.bench", *options)
+        assert process.wait(60) == 0
+        assert "view_bytes a replica" in process.output()
+        written = msgspec.json.decode((tmp_path / "run" / "it.json").read_bytes())
+        assert list(written) == ["leader_cost"]
+
+    def test_the_capacity_page_names_measures_that_exist(self):
+        page = (Path(__file__).parents[3] / "docs" / "CAPACITY.md").read_text()
+        named = set(re.findall(r"`([a-z]+(?:_[a-z]+)*)`", page))
+        assert named - {"nutmegdrum_coord"} <= set(MEASURES)
+        assert {"control_cost", "leader_cost", "state_cost", "overhead"} <= named
+
+
 class TestLoads:
     def test_whole_streams_are_counted(self, processes, engine):
         result = run_load(processes, [engine], streams=5, tokens=20)
