--- a/packages/kernel/src/nutmegdrum/crashguard.py
+++ b/packages/kernel/src/nutmegdrum/crashguard.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from enum import Enum
 
@@ -51,6 +51,8 @@
     is_down : callable
         Says whether a backend server takes no connections. One that breaks off an exchange and
         still takes others has not crashed.
+    tell : callable
+        Tells other entry VMs of a new suspect, without waiting.
     """
 
     def __init__(
@@ -60,9 +62,11 @@
         propose: Callable[[Command], QuarantineAnswer],
         is_down: Callable[[BackendId], bool],
         sleep: Callable[[float], object] = time.sleep,
+        tell: Callable[[Fingerprint], object] = lambda fingerprint: None,
     ):
         self._vm = vm
         self._is_down = is_down
+        self._tell = tell
         self._sleep = sleep
         self._clock = clock
         self._propose = propose
@@ -77,6 +81,12 @@
         with self._lock:
             self._suspects.set_view(view.quarantines, view.suspects, received_ms)
 
+    def hear(self, suspects: Iterable[Fingerprint]) -> None:
+        """Take suspects that another entry VM told of, ahead of the next view."""
+        with self._lock:
+            for fingerprint in suspects:
+                self._suspects.on_heard(fingerprint, self._clock.elapsed_ms())
+
     def check(self, fingerprint: Fingerprint) -> None:
         """Refuse a request that is in quarantine.
 
@@ -140,6 +150,7 @@
         with self._lock:
             self._trying.discard(fingerprint)
             self._suspects.on_crash(fingerprint, now_ms)
+        self._tell(fingerprint)
         command = ReportCrash(fingerprint=fingerprint, vm=self._vm, backend=backend, tokens=tokens)
         answer = self._ask(command)
         if isinstance(answer, Accused):
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -13,9 +13,10 @@
 from nutmegdrum.cache_poller import CachePoller
 from nutmegdrum.claimed_calls import ClaimWriter
 from nutmegdrum.crashguard import CrashGuard
+from nutmegdrum.entry_peers import EntryPeers
 from nutmegdrum.gateway import Gateway
 from nutmegdrum.guarded_routing import GuardedRouting
-from nutmegdrum.heartbeat import Heartbeater, PeerViews
+from nutmegdrum.heartbeat import Heartbeater
 from nutmegdrum.plain import PlainPath
 from nutmegdrum.plugins import Event, Kind, Registry
 from nutmegdrum.queries import ClaimQuery, decode_query_answer, encode_query
@@ -71,7 +72,14 @@
         control = new_control(cfg, registry, self.router.free_slots, clock.elapsed_ms())
         self.admission = Admission(control, clock)
         self.state = StateClient(rpc, cfg.state_replicas)
-        self.guard = CrashGuard(cfg.vm.id, clock, self._propose_suspicion, self.router.is_down)
+        peers = EntryPeers(cfg, rpc, rng, cfg.entry_vms)
+        self.guard = CrashGuard(
+            cfg.vm.id,
+            clock,
+            self._propose_suspicion,
+            self.router.is_down,
+            tell=peers.tell_suspect,
+        )
         routing = GuardedRouting(self.router, self.guard)
         self.streaming = Streaming(
             cfg,
@@ -91,7 +99,6 @@
         registry.listen(Event.BACKEND_LOST, lambda **_: budget.on_recovery(clock.elapsed_ms()))
         claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim, self._look_up_claim)
         self.plain = PlainPath(cfg, clock, routing, self.guard, claims, budget)
-        peers = PeerViews(cfg, rpc, rng, cfg.entry_vms)
         self.heartbeater = Heartbeater(
             cfg,
             clock,
--- a/packages/kernel/src/nutmegdrum/heartbeat.py
+++ b/packages/kernel/src/nutmegdrum/heartbeat.py
@@ -1,17 +1,14 @@
 """Reports of an entry VM to the state leader, and the views that come back."""
 
-import random
 import threading
-from collections.abc import Sequence
 
-import msgspec
 from nutmegdrum_coord.clock import Clock, ElapsedMs
 from nutmegdrum_coord.ids import BackendId, IncarnationId, NoteNumber
-from nutmegdrum_coord.verdict import Refusal
 
 from nutmegdrum import metrics
 from nutmegdrum.admission import Admission
 from nutmegdrum.crashguard import CrashGuard
+from nutmegdrum.entry_peers import EntryPeers, GossipAnswer, GossipDigest
 from nutmegdrum.fleet import VmState
 from nutmegdrum.freshness import FreshView
 from nutmegdrum.logs import log_change
@@ -19,56 +16,13 @@
 from nutmegdrum.packing import pack, unpack
 from nutmegdrum.platform import PlatformClient
 from nutmegdrum.routing import Router
-from nutmegdrum.rpc import PeerUnreachable, RpcClient
+from nutmegdrum.rpc import PeerUnreachable
 from nutmegdrum.service_tally import ServiceTally
-from nutmegdrum.settings import PeerSettings, Settings
+from nutmegdrum.settings import Settings
 from nutmegdrum.state_client import StateClient
 from nutmegdrum.version_watch import VersionWatch
 from nutmegdrum.view import BackendLoad, HeartbeatAnswer, HeartbeatReport, TrialTrip, View
 
-PEER_TIMEOUT_MS = 500
-
-
-class GossipDigest(msgspec.Struct, frozen=True):
-    """What an entry VM tells another: the generation of its view, 0 if it has none."""
-
-    generation: int
-
-
-class GossipAnswer(msgspec.Struct, frozen=True):
-    """The other VM's view, if it is newer."""
-
-    view: View | None = None
-
-
-class PeerViews:
-    """Views of other entry VMs, for a VM that no state replica answers.
-
-    Parameters
-    ----------
-    peers : sequence of PeerSettings
-        All entry VMs, this one included.
-    """
-
-    def __init__(
-        self, cfg: Settings, rpc: RpcClient, rng: random.Random, peers: Sequence[PeerSettings]
-    ):
-        self._rpc = rpc
-        self._rng = rng
-        self._peers = [peer for peer in peers if peer.vm != cfg.vm.id]
-
-    def newer(self, generation: int) -> View | None:
-        """Return a newer view from one other entry VM, chosen at random."""
-        if not self._peers:
-            return None
-        peer = self._rng.choice(self._peers)
-        digest = pack(GossipDigest(generation))
-        try:
-            data = self._rpc.call(peer.address, "gossip", digest, timeout_ms=PEER_TIMEOUT_MS)
-        except (PeerUnreachable, Refusal):
-            return None
-        return unpack(data, GossipAnswer).view
-
 
 class Heartbeater:
     """Sends heartbeats and puts new views in force.
@@ -94,7 +48,7 @@
         guard: CrashGuard,
         watch: VersionWatch,
         tally: ServiceTally,
-        peers: PeerViews,
+        peers: EntryPeers,
         incarnation: IncarnationId,
     ):
         self._cfg = cfg
@@ -120,6 +74,7 @@
     def gossip(self, digest: bytes) -> bytes:
         """Answer another entry VM's digest with this VM's view, if it is newer."""
         theirs = unpack(digest, GossipDigest)
+        self._guard.hear(theirs.suspects)
         view = self._fresh_view.known
         newer = view is not None and view.generation > theirs.generation
         return pack(GossipAnswer(view if newer else None))
