--- a/packages/testing/src/nutmegdrum_testing/bench/__main__.py
+++ b/packages/testing/src/nutmegdrum_testing/bench/__main__.py
@@ -23,6 +23,7 @@
     "overload_table": "admission under overload in model time",
     "notes": "release note from submission to in force",
     "leader_cost": "processor time and bytes of views and decisions against sizes",
+    "log_throughput": "commands a second, restart and failover of the replicated log",
     "state_cost": "memory, bytes and processor time of claims and release notes",
     "control_cost": "bytes and processor time of control against sizes",
     "rollout_table": "good and bad versions in model time",
