Call a leader ready only once its lease is valid

Cause: a state replica was ready as soon as it knew a leader, itself included, before its first entry of the term was committed; a booking right after the start was refused as no-quorum, not run. Ruled out: a wrong verdict, since nothing had been sent. The refusal itself stays, as it is true.

--- a/packages/kernel/src/nutmegdrum/state_daemon.py
+++ b/packages/kernel/src/nutmegdrum/state_daemon.py
@@ -106,7 +106,12 @@
 
     def not_ready(self) -> str:
         """Return why this replica cannot serve, or an empty string."""
-        return "" if self._log.leader() else "the state replicas have no leader"
+        leader = self._log.leader()
+        if leader is None:
+            return "the state replicas have no leader"
+        if leader == self.cfg.vm.id and not self._log.is_leader():
+            return "this replica leads but has no valid lease"
+        return ""
 
     def exchange_log(self, sender: VmId, messages: list[bytes]) -> list[bytes]:
         """Take the log's messages from another replica and return those for it."""
