Refuse at once a generation that every backend server turned away

Now a request without an attempt that may have run asks routing once, at most 4 backend servers, and is refused not-run with a time to come back. Failing first: verdict may-have-run after more than 5 s; now not-run. Ruled out: the admission queue, whose wait is bounded by 2 s.

--- a/packages/kernel/src/nutmegdrum/starts.py
+++ b/packages/kernel/src/nutmegdrum/starts.py
@@ -17,6 +17,9 @@
 MAX_EXCLUDING = 4
 """Questions after which one is asked without the stream's own exclusions."""
 
+MAX_TURNED_AWAY = 4
+"""Backend servers that may turn a request away before it is refused."""
+
 ISOLATION_SHARE = 0.6
 """Share of the recovery deadline for which a suspect waits to be kept apart."""
 
@@ -59,9 +62,9 @@
             If the session cannot go on.
         """
         stream = session.stream
-        recovers = bool(stream.losses or stream.tokens)
+        recovers = stream.recovers
+        self._attempts.report_loss(session)
         if recovers:
-            self._attempts.report_loss(session)
             self._await_turn(session)
         isolated, choice = self._choose(session, recovers)
         with session.lock:
@@ -103,9 +106,12 @@
     def _choose(self, session: Session, recovers: bool) -> tuple[bool, Choice]:
         """Return whether the attempt is kept apart, and where it goes.
 
-        A recovery asks until its deadline, after a while without its own exclusions.
+        A recovery asks until its deadline, after a while without its own exclusions. A request
+        that has not begun is refused at once if nothing can take it, or too many turned it away.
         """
         stream = session.stream
+        if not recovers and stream.attempts >= MAX_TURNED_AWAY:
+            raise v.Refusal(v.OVERLOADED, v.Verdict.NOT_RUN, RETRY_AFTER_MS)
         deadline = self._deadline(session)
         shared_ms = int((1 - ISOLATION_SHARE) * int(self._cfg.recovery_deadline))
         none_left = 0
--- a/packages/kernel/src/nutmegdrum/streams.py
+++ b/packages/kernel/src/nutmegdrum/streams.py
@@ -190,6 +190,14 @@
         self.state = StreamState.IDLE
         return True
 
+    @property
+    def recovers(self) -> bool:
+        """Return whether the next attempt makes up for one that may have run.
+
+        A request that backend servers only turned away has not begun.
+        """
+        return bool(self.tokens) or self.fruitless > 0
+
     def spent(self) -> Reason | None:
         """Return why no further attempt may start, or None if one may."""
         return BACKEND_LOST if self.fruitless >= self._max_attempts else None
--- a/packages/kernel/tests/test_gateway_processes.py
+++ b/packages/kernel/tests/test_gateway_processes.py
@@ -5,11 +5,13 @@
 import urllib3
 from nutmegdrum_testing.callers import StreamResult
 from nutmegdrum_testing.deployment import Deployment, Options, key_of
+from nutmegdrum_testing.faults import Fault, FaultKind
 from nutmegdrum_testing.waiting import wait_for
 
 MAX_STREAMS = 2
 MAX_BODY_BYTES = 64 << 10
 TIMEOUT_S = 30.0
+RECOVERY_DEADLINE_MS = 5_000
 OPTIONS = Options(
     states=1,
     entries=1,
@@ -78,6 +80,17 @@
         assert answer["choices"][0]["message"]["role"] == "assistant"
 
 
+class TestBusyEngines:
+    def test_request_is_refused_at_once_as_not_run(self, deployment):
+        control = deployment.engines[0].control
+        control.set_faults(Fault(kind=FaultKind.NO_SLOT))
+        refused = deployment.caller().generate("m", "busy", 3)
+        control.set_faults()
+        assert refused.problem.verdict == "not-run"
+        assert int(refused.headers["Retry-After"]) >= 1
+        assert refused.total_ms < RECOVERY_DEADLINE_MS / 2
+
+
 class TestFullHouse:
     def test_next_stream_is_refused_at_once_and_probes_are_answered(self, deployment):
         caller = deployment.caller()
