Drop constants, events and kinds of plug-ins that nothing uses

A newcomer would look for their use in vain. Found by counting each name's uses; behaviour is unchanged.

--- a/packages/kernel/src/nutmegdrum/backends.py
+++ b/packages/kernel/src/nutmegdrum/backends.py
@@ -42,14 +42,6 @@
         ...
 
 
-class PlainResponse(Protocol):
-    """Whole response of a plain service."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
 class BackendProtocol(Protocol):
     """Protocol that backend servers speak."""
 
--- a/packages/kernel/src/nutmegdrum/cli.py
+++ b/packages/kernel/src/nutmegdrum/cli.py
@@ -29,7 +29,6 @@
 from nutmegdrum.render import render
 from nutmegdrum.settings import load_settings
 
-EXIT_FAILED = 1
 EXIT_USER_ERROR = 2
 EXIT_CONFLICT = 3
 
--- a/packages/kernel/src/nutmegdrum/daemon.py
+++ b/packages/kernel/src/nutmegdrum/daemon.py
@@ -25,8 +25,6 @@
 from nutmegdrum.settings import Role, Settings, load_settings
 from nutmegdrum.state_daemon import StateRole
 
-EXIT_USER_ERROR = 2
-
 
 @cappa.command(name="nutmegdrumd", help="Run one daemon.")
 @dataclass
--- a/packages/kernel/src/nutmegdrum/plugins.py
+++ b/packages/kernel/src/nutmegdrum/plugins.py
@@ -19,22 +19,16 @@
     """Kinds of behaviour that a plug-in can provide."""
 
     ROUTING = "routing"
-    HEALTH_JUDGE = "health-judge"
     ROLLOUT_JUDGE = "rollout-judge"
     ADMISSION = "admission"
     BACKEND_PROTOCOL = "backend-protocol"
-    CALLER_PROTOCOL = "caller-protocol"
 
 
 class Event(Enum):
     """Events that a plug-in can listen to."""
 
-    STREAM_STARTED = "stream-started"
-    STREAM_FINISHED = "stream-finished"
     STREAM_RECOVERED = "stream-recovered"
     BACKEND_LOST = "backend-lost"
-    NOTE_IN_FORCE = "note-in-force"
-    SHUTDOWN = "shutdown"
 
 
 class Registry:
