Let only replicas that keep up say that a request never ran

Cause: without a quorum an entry VM asked the replicas that it reached; one that had been cut off while the claim was committed by the others knew nothing, and the resend was told not-run though the booking had run. Ruled out: asking for a majority, which there is none of. Not covered: an entry in flight to a follower in touch when both others die.

--- a/packages/coord/src/nutmegdrum_coord/logcore.py
+++ b/packages/coord/src/nutmegdrum_coord/logcore.py
@@ -119,6 +119,11 @@
         """Return whether this replica leads, its lease holds and its state is complete."""
         return self._leadership is not None and self._leadership.serves(now_ms)
 
+    @property
+    def heard_leader_ms(self) -> int | None:
+        """Return when a leader was last heard since the start, in ms."""
+        return self._election.heard_ms
+
     def serves_until_ms(self, now_ms: int) -> int:
         """Return the elapsed time in ms until which this replica may serve; 0 if it may not."""
         return self._leadership.serves_until_ms(now_ms) if self._leadership else 0
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -132,8 +132,13 @@
         return decode_answer(self.state.propose(encoded, CLAIM_TIMEOUT_MS), ClaimAnswer)
 
     def _look_up_claim(self, begin: BeginClaim) -> list[ClaimAnswer]:
-        query = encode_query(ClaimQuery(key=begin.key, digest=begin.digest, token=begin.token))
-        answers = self.state.read_any(query, LOOK_UP_TIMEOUT_MS)
+        query = ClaimQuery(
+            key=begin.key,
+            digest=begin.digest,
+            token=begin.token,
+            silence_ms=self.heartbeater.silence_ms(),
+        )
+        answers = self.state.read_any(encode_query(query), LOOK_UP_TIMEOUT_MS)
         return [decode_query_answer(answer).answer for answer in answers]
 
     def _propose_suspicion(self, command: Command) -> QuarantineAnswer:
--- a/packages/kernel/src/nutmegdrum/heartbeat.py
+++ b/packages/kernel/src/nutmegdrum/heartbeat.py
@@ -71,6 +71,10 @@
         """Return whether a view was received since the start."""
         return self._fresh_view.known is not None
 
+    def silence_ms(self) -> int:
+        """Return the time since a leader last answered in ms; 0 if none has."""
+        return self._fresh_view.silence_ms(self._clock.elapsed_ms())
+
     def gossip(self, digest: bytes) -> bytes:
         """Answer another entry VM's digest with this VM's view, if it is newer."""
         theirs = unpack(digest, GossipDigest)
--- a/packages/kernel/src/nutmegdrum/lognode.py
+++ b/packages/kernel/src/nutmegdrum/lognode.py
@@ -140,6 +140,7 @@
         self._applied = LogPosition(0)
         self._bytes_since_snapshot = 0
         self._serves_until_ms = 0
+        self._led_until_ms: int | None = None
         self._failed = False
         self._led = False
         self._stopping = threading.Event()
@@ -214,6 +215,16 @@
         rest = entries.between(after, entries.last.position)
         return [entry.data for entry in rest if entry.kind is EntryKind.COMMAND]
 
+    def in_touch_ms(self) -> int | None:
+        """Return the elapsed time in ms at which this replica last led or heard a leader.
+
+        None if it has done neither since its start.
+        """
+        return max(
+            (ms for ms in (self._core.heard_leader_ms, self._led_until_ms) if ms is not None),
+            default=None,
+        )
+
     def lease_until_ms(self) -> int:
         """Return the elapsed time in ms until which this replica may serve; 0 if it may not."""
         return self._serves_until_ms
@@ -412,7 +423,10 @@
 
     def _publish(self) -> None:
         core = self._core
-        self._serves_until_ms = core.serves_until_ms(self._clock.elapsed_ms())
+        now_ms = self._clock.elapsed_ms()
+        self._serves_until_ms = core.serves_until_ms(now_ms)
+        if now_ms < self._serves_until_ms:
+            self._led_until_ms = now_ms
         VOTES.set(int(core.may_vote and core.identity in core.members.voters))
         TERM.set(core.state.term)
         APPLIED.set(self._applied)
--- a/packages/kernel/src/nutmegdrum/queries.py
+++ b/packages/kernel/src/nutmegdrum/queries.py
@@ -82,11 +82,14 @@
     ----------
     token : str
         The asker's own attempt, which is left out.
+    silence_ms : int
+        Time since the asker last heard of a leader, in ms.
     """
 
     key: ClaimKey
     digest: bytes
     token: str
+    silence_ms: int = 0
 
 
 class NoteSummary(msgspec.Struct, frozen=True, kw_only=True):
