Let the log's members be replaced at run time, and take the disk's promise from a setting

Cause: state replicas had to be listed in the settings, a restarted one waited up to 10 s for all others before it voted, and a file whose inode changed counted as a copy. Where replicas learn of each other at run time and the disk keeps what was synced, each of these stops the cluster.

Ruled out: the wait can't be dropped for every disk; it stays unless control.synced_data_survives says otherwise. A wiped replica must not found a second cluster: control.may_found marks the first start with a file that is synced.

--- a/packages/coord/src/nutmegdrum_coord/logcore.py
+++ b/packages/coord/src/nutmegdrum_coord/logcore.py
@@ -115,6 +115,23 @@
         """Return the configuration in force."""
         return self.state.entries.members
 
+    def set_vms(self, vms: Collection[VmId]) -> None:
+        """Replace the VMs that are to keep the log; the leader changes the members one by one.
+
+        The VMs that may found a cluster stay those of the constructor.
+        """
+        self._vms = frozenset(vms) | {self.identity.vm}
+        if self._leadership is not None:
+            self._leadership.set_vms(self._vms)
+
+    def arrived(self) -> frozenset[VmId]:
+        """Return the VMs that asked this leader to be admitted; none if it does not lead."""
+        return self._leadership.arrived() if self._leadership is not None else frozenset()
+
+    def silent_ms(self, now_ms: int) -> dict[Member, int]:
+        """Return for how long this leader has not heard each other member, in ms."""
+        return self._leadership.silent_ms(now_ms) if self._leadership is not None else {}
+
     def serves(self, now_ms: int) -> bool:
         """Return whether this replica leads, its lease holds and its state is complete."""
         return self._leadership is not None and self._leadership.serves(now_ms)
--- a/packages/coord/src/nutmegdrum_coord/logstore.py
+++ b/packages/coord/src/nutmegdrum_coord/logstore.py
@@ -103,6 +103,9 @@
         Folder of the replica; made if it is missing.
     boot : str
         Identity of the VM's present boot.
+    synced_data_survives : bool
+        Whether the disk keeps synced files through every restart and never returns an older
+        copy; a file's inode then says nothing, and all files are trusted after a restart.
 
     Raises
     ------
@@ -110,10 +113,11 @@
         If the files cannot be those that this incarnation last synced.
     """
 
-    def __init__(self, folder: Path, boot: str):
+    def __init__(self, folder: Path, boot: str, synced_data_survives: bool = False):
         self.folder = folder
         self.snapshot = SnapshotInfo(Base(), 0, 0)
         self._boot = boot
+        self._survives = synced_data_survives
         self._log_fd = -1
         self._mark_fd = -1
         self._generation = 0
@@ -168,7 +172,7 @@
             snapshot=covered,
             base=base,
             entries=kept.between(base.position, kept.last.position),
-            trusted=identity.boot == self._boot,
+            trusted=self._survives or identity.boot == self._boot,
             new=new,
         )
 
@@ -265,7 +269,7 @@
     def _load_ballot(self) -> Ballot:
         path = self.folder / "ballot"
         content = _decode(self._single(_read(path), "ballot"), _BallotFile)
-        if content.inode != path.stat().st_ino:
+        if not self._survives and content.inode != path.stat().st_ino:
             raise Damaged("ballot: a copy of another file")
         return content.ballot
 
@@ -287,7 +291,7 @@
     def _open_log(self) -> _Read:
         data = _read(self.folder / "log")
         read = _read_log(data)
-        if read.head.inode != (self.folder / "log").stat().st_ino:
+        if not self._survives and read.head.inode != (self.folder / "log").stat().st_ino:
             raise Damaged("log: a copy of another file")
         self._generation = read.head.generation
         if read.end < max(self._marked(), proven_synced(data, read.end)):
--- a/packages/coord/src/nutmegdrum_coord/replication.py
+++ b/packages/coord/src/nutmegdrum_coord/replication.py
@@ -110,6 +110,18 @@
         if member not in self._state.entries.members.everyone():
             self._arrived[member.vm] = member
 
+    def set_vms(self, vms: frozenset[VmId]) -> None:
+        """Replace the VMs that are to keep the log."""
+        self._vms = vms
+
+    def arrived(self) -> frozenset[VmId]:
+        """Return the VMs that asked to be admitted and are no members."""
+        return frozenset(self._arrived)
+
+    def silent_ms(self, now_ms: int) -> dict[Member, int]:
+        """Return for how long each other member has not been heard, in ms."""
+        return {m: now_ms - self._progress_of(m, now_ms).heard_ms for m in self._others()}
+
     def tick(self, now_ms: int) -> None:
         """Send heartbeats that are due, and change the configuration if it is time to."""
         if now_ms < self._next_heartbeat_ms:
@@ -239,6 +251,8 @@
         if self._state.commit < max(self._first, entries.members_position):
             return
         members = entries.members
+        everyone = members.everyone()
+        self._arrived = {vm: m for vm, m in self._arrived.items() if m not in everyone}
         caught_up = [m for m in members.learners if self._is_caught_up(m, now_ms)]
         identity = self._state.identity
         change = next_change(members, self._vms, self._arrived, caught_up, identity)
--- a/packages/kernel/src/nutmegdrum/loginbox.py
+++ b/packages/kernel/src/nutmegdrum/loginbox.py
@@ -28,7 +28,13 @@
     fut: "Future[list[bytes]] | None"
 
 
-Input = Proposal | Exchange | None
+class NewVms(NamedTuple):
+    """VMs that are to keep the log from now on."""
+
+    vms: frozenset[VmId]
+
+
+Input = Proposal | Exchange | NewVms | None
 """Input of a turn; None lets time pass."""
 
 
--- a/packages/kernel/src/nutmegdrum/lognode.py
+++ b/packages/kernel/src/nutmegdrum/lognode.py
@@ -12,7 +12,7 @@
 import random
 import secrets
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from concurrent.futures import Future
 from pathlib import Path
 from typing import NamedTuple
@@ -49,7 +49,7 @@
 from prometheus_client import Counter, Gauge
 
 from nutmegdrum.logfolder import open_folder, retire_folder
-from nutmegdrum.loginbox import Exchange, Inbox, Input, Proposal
+from nutmegdrum.loginbox import Exchange, Inbox, Input, NewVms, Proposal
 from nutmegdrum.logsender import LogTransport, PeerSender
 from nutmegdrum.settings import Settings
 
@@ -131,6 +131,8 @@
         self._peers = [peer.vm for peer in cfg.state_replicas if peer.vm != cfg.vm.id]
         self._timing = LogTiming(cfg.control.log_heartbeat, cfg.control.election_timeout)
         self._snapshot_every = cfg.control.snapshot_every
+        self._synced_data_survives = cfg.control.synced_data_survives
+        self._may_found = cfg.control.may_found
         self._clock = clock
         self._rng = random.Random(rng.getrandbits(SEED_BITS) ^ secrets.randbits(SEED_BITS))
         self._machine = machine
@@ -160,9 +162,9 @@
         """End the threads and close the files; pending proposals fail."""
         self._stopping.set()
         self._ticker.join()
+        self._actor.stop(block=True)
         for sender in self._senders.values():
             sender.stop()
-        self._actor.stop(block=True)
         self._serves_until_ms = 0
         self._fail_pending()
         self._refuse(self._inbox.take_all())
@@ -242,7 +244,9 @@
         return self._failed
 
     def _open(self) -> None:
-        self._store, incarnation, saved = open_folder(self._folder)
+        self._store, incarnation, saved = open_folder(
+            self._folder, self._may_found, self._synced_data_survives
+        )
         covered = saved.snapshot.position
         self._machine.restore(self._store.read_snapshot() if covered else self._initial)
         self._applied = saved.snapshot.position
@@ -255,6 +259,18 @@
             self._clock.elapsed_ms(),
         )
 
+    def set_vms(self, vms: Collection[VmId]) -> None:
+        """Replace the VMs that are to keep the log, from the next turn on; thread-safe."""
+        self._put(NewVms(frozenset(vms)))
+
+    def arrived(self) -> frozenset[VmId]:
+        """Return the VMs that asked this replica, if it leads, to be admitted."""
+        return self._core.arrived()
+
+    def silent_ms(self) -> dict[Member, int]:
+        """Return for how long this leader has not heard each other member, in ms."""
+        return self._core.silent_ms(self._clock.elapsed_ms())
+
     def _put(self, item: Input) -> None:
         if self._inbox.put(item):
             self._wake()
@@ -295,6 +311,8 @@
         for item in items:
             if isinstance(item, Proposal):
                 self._append(now_ms, item)
+            elif isinstance(item, NewVms):
+                self._core.set_vms(item.vms)
             elif item is not None:
                 effects.extend(self._receive(now_ms, item, answers))
         effects.extend(self._core.flush(now_ms))
@@ -368,8 +386,9 @@
 
     def _send(self, to: VmId, message: AnyMessage) -> None:
         sender = self._senders.get(to)
-        if sender is not None:
-            sender.put(encode_message(message))
+        if sender is None:
+            sender = self._senders[to] = PeerSender(to, self._transport, self._take_replies)
+        sender.put(encode_message(message))
 
     def _send_chunk(self, effect: SendChunk) -> None:
         info = self._store.snapshot
--- a/packages/kernel/src/nutmegdrum/logs.py
+++ b/packages/kernel/src/nutmegdrum/logs.py
@@ -2,19 +2,19 @@
 
 import logging
 import sys
-from typing import Any
+from typing import Any, TextIO
 
 import eliot
 from eliot.stdlib import EliotHandler
 
 
-def start_logging(vm: str) -> None:
-    """Write log lines as JSON to standard error, each with the VM's id.
+def start_logging(vm: str, stream: TextIO = sys.stderr) -> None:
+    """Write log lines as JSON to `stream`, each with the VM's id.
 
     Lines of libraries that use the standard logging come along.
     """
     eliot.add_global_fields(vm=vm)
-    eliot.to_file(sys.stderr)
+    eliot.to_file(stream)
     logging.basicConfig(handlers=[EliotHandler()], level=logging.INFO, force=True)
 
 
--- a/packages/kernel/src/nutmegdrum/settings.py
+++ b/packages/kernel/src/nutmegdrum/settings.py
@@ -181,6 +181,8 @@
     election_timeout: Duration = Duration(1_000)
     log_heartbeat: Duration = Duration(150)
     snapshot_every: int = 2_000
+    synced_data_survives: bool = False
+    may_found: bool = True
 
 
 class MoveSettings(Model):
