Tell other entry VMs of engines that are down, and stop listening before the end

Prompts piled up on few engines because a run's whole memory counted, not the prompt that is still to be read.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -16,6 +16,9 @@
 from nutmegdrum_relay.retry_policy import Loss
 from nutmegdrum_relay.running import Running
 from nutmegdrum_relay.upstream import Answer, Broken, Exchange, NotSent, Upstream
+from nutmegdrum_relay.views import Work
+
+NO_WORK = Work()
 
 
 class Lost(Exception):
@@ -77,6 +80,7 @@
     answer: Answer
     terms: AnswerTerms
     copy: Backend | None = None
+    work: Work = NO_WORK
 
 
 class Attempts:
@@ -110,7 +114,15 @@
         """Return the backend server for the next attempt; None if all were tried."""
         candidates = self._backends.of_service(demanded.service.name)
         now_ms = self._clock.elapsed_ms()
-        return choose_backend(candidates, demanded.demand, self._near, tried, now_ms, self._rng)
+        engine = demanded.service.engine
+        cache_tokens = engine.cache_tokens if engine is not None else 0
+        return choose_backend(
+            candidates, demanded.demand, cache_tokens, self._near, tried, now_ms, self._rng
+        )
+
+    def successor(self, backend: Backend) -> Backend:
+        """Return the engine that listens at `backend`'s address now; copies are sent there."""
+        return self._backends.successor(backend)
 
     def choose_copy(
         self, demanded: Demanded, primary: Backend, tried: list[BackendId]
@@ -154,7 +166,10 @@
             If no answer came that can be passed on.
         """
         exchange = self._open(demanded, backend)
-        self._backends.add(backend, demanded.demand.tokens)
+        work = Work(
+            0 if copy_at is not None else demanded.demand.prompt_tokens, demanded.demand.tokens
+        )
+        self._backends.add(backend, work)
         self._running.add(backend, exchange, self._clock.elapsed_ms())
         demanded.set_exchange(exchange)
         try:
@@ -173,8 +188,10 @@
                 request=demanded.terms.request_id,
                 backend=backend.id,
                 route=demanded.route.name,
-                own_tokens=backend.tokens,
-                others_tokens=backend.others_tokens,
+                unread=backend.work.unread,
+                resident=backend.work.resident,
+                others_unread=backend.others_work.unread,
+                others_resident=backend.others_work.resident,
                 time_left_ms=int(time_left or timeout),
                 last_event=last_event_id,
                 copy_to=copy_to.id if copy_to else None,
@@ -182,11 +199,12 @@
             )
             attempt = self._exchange(demanded, backend, exchange, headers, timeout)
         except Lost as lost:
-            self._end(demanded, backend, exchange, keep=lost.loss is Loss.NOT_RUN)
+            self._end(demanded, backend, exchange, work, keep=lost.loss is Loss.NOT_RUN)
             raise
+        attempt.work = work
         if copy_to is not None:
-            self._backends.add_copy(copy_to, demanded.demand.tokens)
             attempt.copy = copy_to
+            self._backends.change_work(copy_to, Work(0, demanded.demand.tokens), NO_WORK)
         return attempt
 
     def _open(self, demanded: Demanded, backend: Backend) -> Exchange:
@@ -232,9 +250,9 @@
         terms: AnswerTerms,
     ) -> None:
         if terms.other_backend:
-            self._backends.on_down(backend, "address-reused")
+            self._backends.on_replaced(backend)
             self._upstream.forget(backend.id)
-            raise Lost(Loss.NOT_RUN, "another backend server has the address")
+            raise Lost(Loss.OTHER_BACKEND, "another backend server has the address")
         if terms.request_id and terms.request_id != demanded.terms.request_id:
             exchange.abort()
             raise Lost(Loss.BROKEN, "answer to another request")
@@ -250,6 +268,10 @@
         except (TimeoutError, Broken):
             exchange.abort()
 
+    def on_broken(self, attempt: Attempt) -> None:
+        """Note that an engine broke a stream off; most that do have crashed."""
+        self._backends.on_down(attempt.backend, "stream-broken")
+
     def read_whole(self, demanded: Demanded, attempt: Attempt, timeout: Duration) -> bytes:
         """Return the answer's whole body.
 
@@ -266,20 +288,26 @@
             raise Lost(Loss.BROKEN, str(exc)) from exc
 
     def on_heard(self, attempt: Attempt) -> None:
-        """Note that a part of the answer came."""
+        """Note that a part of the answer came; its prompt has been read then."""
         self._backends.on_heard(attempt.backend)
+        if attempt.work.unread:
+            read = Work(attempt.work.unread, 0)
+            attempt.work -= read
+            self._backends.change_work(attempt.backend, NO_WORK, read)
 
     def end(self, demanded: Demanded, attempt: Attempt, keep: bool, failed: bool) -> None:
         """End an attempt; `keep` says that its answer was read to the end."""
         self._backends.on_answer(attempt.backend, failed)
         if attempt.copy is not None:
-            self._backends.add_copy(attempt.copy, -demanded.demand.tokens)
-        self._end(demanded, attempt.backend, attempt.exchange, keep)
+            self._backends.change_work(attempt.copy, NO_WORK, Work(0, demanded.demand.tokens))
+        self._end(demanded, attempt.backend, attempt.exchange, attempt.work, keep)
 
-    def _end(self, demanded: Demanded, backend: Backend, exchange: Exchange, keep: bool) -> None:
+    def _end(
+        self, demanded: Demanded, backend: Backend, exchange: Exchange, work: Work, keep: bool
+    ) -> None:
         demanded.set_exchange(None)
         self._running.remove(backend, exchange)
-        self._backends.remove(backend, demanded.demand.tokens)
+        self._backends.remove(backend, work)
         if keep:
             self._upstream.keep(backend.id, exchange)
         else:
--- a/packages/relay/src/nutmegdrum_relay/backends.py
+++ b/packages/relay/src/nutmegdrum_relay/backends.py
@@ -10,6 +10,7 @@
 
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import Listed, Load
+from nutmegdrum_relay.views import Work
 
 FIRST_PAUSE = Duration(300)
 """Pause after a backend server was found down; docs/design/platform.md, failing servers."""
@@ -25,11 +26,16 @@
 """Age up to which a told load counts; docs/design/platform.md, placement."""
 
 
+TOLD_PAUSE = Duration(1_000)
+"""Pause of a backend server that another entry VM found down; two of its reports."""
+
+
 class Health(Enum):
     """Whether a backend server gets requests."""
 
     UP = "up"
     PAUSED = "paused"
+    GONE = "gone"
 
 
 class Backend:
@@ -37,12 +43,12 @@
 
     Attributes
     ----------
-    tokens : int
-        Tokens that this VM's running requests need there, copies included.
+    work : Work
+        Work of this VM's running requests there, copies included.
     requests : int
         This VM's running requests.
-    others_tokens : int
-        Tokens that other entry VMs' requests need there.
+    others_work : Work
+        Work of other entry VMs' requests there.
     failure_rate : float
         Share of recent exchanges that failed, 0 to 1.
     """
@@ -52,20 +58,27 @@
         self.id: BackendId = listed.id
         self.address: Address = listed.address
         self.data_centre: DataCentre = listed.data_centre
-        self.tokens = 0
+        self.work = Work()
         self.requests = 0
-        self.others_tokens = 0
+        self.others_work = Work()
         self.failure_rate = 0.0
         self.load: Load | None = None
         self.load_ms = 0
         self.paused_until_ms = 0
         self.pause_ms = 0
         self.heard_ms = 0
+        self.gone = False
 
     def health(self, now_ms: int) -> Health:
         """Return whether it gets requests now."""
+        if self.gone:
+            return Health.GONE
         return Health.PAUSED if now_ms < self.paused_until_ms else Health.UP
 
+    def known_work(self) -> Work:
+        """Return the work of all entry VMs' requests there, as far as it is known."""
+        return self.work + self.others_work
+
 
 class Backends:
     """All known backend servers; thread-safe."""
@@ -74,7 +87,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._backends: dict[BackendId, Backend] = {}
-        self._others: dict[BackendId, int] = {}
+        self._others: dict[BackendId, Work] = {}
 
     def set_listing(self, listing: Iterable[Listed]) -> None:
         """Replace the list; what is known of a backend server is kept while it is listed."""
@@ -85,26 +98,68 @@
                 backend = known.get(listed.id)
                 if backend is None or backend.address != listed.address:
                     backend = Backend(listed)
-                    backend.others_tokens = self._others.get(listed.id, 0)
+                    backend.others_work = self._others.get(listed.id, Work())
                     log_decision("backend_listed", backend=listed.id, service=listed.service)
                 elif listed.leaving and not backend.listed.leaving:
                     log_decision("backend_leaving", backend=listed.id, service=listed.service)
                 backend.listed = listed
                 self._backends[listed.id] = backend
+            self._drop_replaced(known)
             for backend_id in known.keys() - self._backends.keys():
                 log_decision("backend_gone", backend=backend_id)
 
-    def set_others(self, tokens: dict[BackendId, int]) -> None:
-        """Take the tokens that other entry VMs' requests need."""
+    def _drop_replaced(self, known: dict[BackendId, Backend]) -> None:
+        """Note that a backend server has ended if a newer one is listed at its address."""
+        new = {b.address for b in self._backends.values() if b.id not in known}
+        for backend in self._backends.values():
+            if backend.id in known and backend.address in new:
+                backend.gone = True
+
+    def successor(self, backend: Backend) -> Backend:
+        """Return the newest backend server of the same service at the same address."""
+        with self._lock:
+            for other in self._backends.values():
+                same = other.address == backend.address
+                if same and other.listed.service == backend.listed.service and not other.gone:
+                    return other
+        return backend
+
+    def down(self) -> tuple[BackendId, ...]:
+        """Return the listed backend servers that this VM found down by itself."""
+        now_ms = self._clock.elapsed_ms()
+        with self._lock:
+            return tuple(
+                b.id
+                for b in self._backends.values()
+                if b.gone or (now_ms < b.paused_until_ms and b.pause_ms)
+            )
+
+    def set_down(self, down: Iterable[BackendId]) -> None:
+        """Pause the backend servers that other entry VMs found down."""
+        now_ms = self._clock.elapsed_ms()
+        with self._lock:
+            for backend_id in down:
+                backend = self._backends.get(backend_id)
+                if backend is not None and now_ms >= backend.paused_until_ms:
+                    backend.pause_ms = 0
+                    backend.paused_until_ms = now_ms + TOLD_PAUSE
+
+    def on_replaced(self, backend: Backend) -> None:
+        """Note that another backend server answers at this one's address."""
+        backend.gone = True
+        log_decision("backend_replaced", backend=backend.id, address=backend.address)
+
+    def set_others(self, work: dict[BackendId, Work]) -> None:
+        """Take the work of other entry VMs' requests."""
         with self._lock:
-            self._others = tokens
+            self._others = work
             for backend in self._backends.values():
-                backend.others_tokens = tokens.get(backend.id, 0)
+                backend.others_work = work.get(backend.id, Work())
 
-    def own_tokens(self) -> dict[BackendId, int]:
-        """Return the tokens that this VM's requests need on each backend server."""
+    def own_work(self) -> dict[BackendId, Work]:
+        """Return the work of this VM's requests on each backend server."""
         with self._lock:
-            return {b.id: b.tokens for b in self._backends.values() if b.tokens}
+            return {b.id: b.work for b in self._backends.values() if b.work}
 
     def of_service(self, service: ServiceName) -> list[Backend]:
         """Return the service's backend servers that are not leaving."""
@@ -112,25 +167,27 @@
             return [
                 backend
                 for backend in self._backends.values()
-                if backend.listed.service == service and not backend.listed.leaving
+                if backend.listed.service == service
+                and not backend.listed.leaving
+                and not backend.gone
             ]
 
-    def add(self, backend: Backend, tokens: int) -> None:
+    def add(self, backend: Backend, work: Work) -> None:
         """Count a request that is sent to `backend`."""
         with self._lock:
             backend.requests += 1
-            backend.tokens += tokens
+            backend.work += work
 
-    def remove(self, backend: Backend, tokens: int) -> None:
-        """Count the end of a request."""
+    def remove(self, backend: Backend, work: Work) -> None:
+        """Count the end of a request, with the work that it still counted for."""
         with self._lock:
             backend.requests -= 1
-            backend.tokens -= tokens
+            backend.work -= work
 
-    def add_copy(self, backend: Backend, tokens: int) -> None:
-        """Count a copy of a run's KV cache at `backend`; a negative number ends one."""
+    def change_work(self, backend: Backend, more: Work, less: Work) -> None:
+        """Count a part of a request's work as begun or done."""
         with self._lock:
-            backend.tokens += tokens
+            backend.work = backend.work + more - less
 
     def on_heard(self, backend: Backend) -> None:
         """Note that bytes came from `backend`."""
--- a/packages/relay/src/nutmegdrum_relay/callers.py
+++ b/packages/relay/src/nutmegdrum_relay/callers.py
@@ -216,8 +216,9 @@
         self._server.prepare()
         self._thread.start()
 
-    def stop(self) -> None:
-        """Close the listener and its connections."""
+    def stop(self, wait: Duration) -> None:
+        """Close the listener and idle connections, and wait for calls that run."""
+        self._server.shutdown_timeout = wait / _MS_PER_S
         self._server.stop()
 
 
--- a/packages/relay/src/nutmegdrum_relay/decisions.py
+++ b/packages/relay/src/nutmegdrum_relay/decisions.py
@@ -45,7 +45,7 @@
 _clock = SystemClock()
 
 
-def log_decision(kind: str, **inputs: Any) -> None:
+def log_decision(kind: str, /, **inputs: Any) -> None:
     """Count a decision, and write one line for it if the kind's budget allows.
 
     The first line after some were left out says how many.
--- a/packages/relay/src/nutmegdrum_relay/document_follower.py
+++ b/packages/relay/src/nutmegdrum_relay/document_follower.py
@@ -74,14 +74,16 @@
             vm=self._vm,
             version=version,
             wait_ms=int(self._wait),
-            tokens=self._backends.own_tokens(),
+            work=self._backends.own_work(),
+            down=self._backends.down(),
         )
         view = self._client.report(report)
         self._note_reached(view)
         if view is None:
             return False
         if view.fresh:
-            self._backends.set_others(view.tokens)
+            self._backends.set_others(view.work)
+            self._backends.set_down(view.down)
         if view.version > version and view.source:
             self._put_in_force(view)
         return view.fresh
--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -6,6 +6,7 @@
 
 from nutmegdrum.retries import RetryBudget
 from nutmegdrum.rpc import RpcClient
+from nutmegdrum.units import Duration
 from nutmegdrum.wsgi import Environ, HttpListener, Response, StartResponse
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import VmId
@@ -38,8 +39,10 @@
 """Part of the time until the process is killed after which streams that still run are broken off;
 docs/design/platform.md, shutdown."""
 
+JOIN_MARGIN_S = 0.2
+"""Time for broken-off calls to end, in s."""
+
 READINESS_THREADS = 2
-DRAIN_POLL_S = 0.05
 _MS_PER_S = 1_000
 
 
@@ -128,14 +131,15 @@
         self._leaving = True
         started_ms = self._clock.elapsed_ms()
         cfg = self._cfg.entry
-        self._wait_until(started_ms + cfg.shutdown_notice, lambda: False)
-        self._wait_until(started_ms + int(cfg.stop_within * BREAK_OFF_AT), lambda: self._calls == 0)
+        time.sleep(cfg.shutdown_notice / _MS_PER_S)
+        break_off_ms = started_ms + int(cfg.stop_within * BREAK_OFF_AT)
+        left = Duration(max(0, break_off_ms - self._clock.elapsed_ms()))
+        # The server waits by the time of day, which may jump; this join does not.
+        stopping = threading.Thread(target=self._listener.stop, args=(left,), daemon=True)
+        stopping.start()
+        stopping.join(left / _MS_PER_S + JOIN_MARGIN_S)
         log_decision("drained", calls_left=self._calls)
 
-    def _wait_until(self, until_ms: int, done) -> None:
-        while self._clock.elapsed_ms() < until_ms and not done():
-            time.sleep(DRAIN_POLL_S)
-
     def _serve(self, call: Call) -> None:
         with self._lock:
             self._calls += 1
--- a/packages/relay/src/nutmegdrum_relay/placement.py
+++ b/packages/relay/src/nutmegdrum_relay/placement.py
@@ -19,9 +19,16 @@
 WARM_UP_PENALTY = 1.0
 """Requests that a backend server still warming up counts for; docs/design/platform.md."""
 
-OTHER_DATA_CENTRE_PENALTY = 0.4
+OTHER_DATA_CENTRE_PENALTY = 0.1
 """Requests that the way to another data centre counts for, so that ties stay near."""
 
+RESIDENT_WEIGHT = 0.15
+"""Weight of a token held in memory against one to be read: a running generation makes each step
+of the others a little longer, an unread prompt delays them by its whole length."""
+
+NO_ROOM_PENALTY = 8.0
+"""Prompts that a full memory counts for: a generation there is preempted and read again."""
+
 
 class Demand(NamedTuple):
     """Size of a request in tokens; 0 for one that is no generation."""
@@ -38,6 +45,7 @@
 def choose_backend(
     backends: Collection[Backend],
     demand: Demand,
+    cache_tokens: int,
     near: DataCentre,
     tried: Collection[BackendId],
     now_ms: int,
@@ -49,6 +57,8 @@
 
     Parameters
     ----------
+    cache_tokens : int
+        Tokens that an engine's memory holds; 0 for backend servers that are no engines.
     near : DataCentre
         Data centre of this entry VM.
     tried : collection of BackendId
@@ -58,8 +68,11 @@
     usable = [b for b in fresh if b.health(now_ms) is Health.UP] or fresh
     if not usable:
         return None
-    cost = _generation_cost if demand.tokens else _request_cost
-    return min(usable, key=lambda b: (cost(b, demand, near, now_ms), rng.random()))
+    if demand.tokens:
+        return min(
+            usable, key=lambda b: (_generation_cost(b, demand, cache_tokens, near), rng.random())
+        )
+    return min(usable, key=lambda b: (_request_cost(b, near, now_ms), rng.random()))
 
 
 def choose_copy(
@@ -81,23 +94,29 @@
         if b is not primary
         and b.id not in tried
         and b.health(now_ms) is Health.UP
-        and _known_tokens(b) + demand.tokens <= cache_tokens
+        and b.known_work().resident + demand.tokens <= cache_tokens
     ]
     apart = [b for b in others if b.data_centre != primary.data_centre] or others
     if not apart:
         return None
-    return min(apart, key=lambda b: (_known_tokens(b), rng.random()))
+    return min(apart, key=lambda b: (_work_cost(b, demand), rng.random()))
 
 
-def _known_tokens(backend: Backend) -> int:
-    return backend.tokens + backend.others_tokens
+def _work_cost(backend: Backend, demand: Demand) -> float:
+    work = backend.known_work()
+    return (work.unread + RESIDENT_WEIGHT * work.resident) / demand.tokens
 
 
-def _generation_cost(backend: Backend, demand: Demand, near: DataCentre, now_ms: int) -> float:
-    return _known_tokens(backend) / demand.tokens + _common_cost(backend, near)
+def _generation_cost(
+    backend: Backend, demand: Demand, cache_tokens: int, near: DataCentre
+) -> float:
+    cost = _work_cost(backend, demand) + _common_cost(backend, near)
+    if cache_tokens and backend.known_work().resident + demand.tokens > cache_tokens:
+        cost += NO_ROOM_PENALTY
+    return cost
 
 
-def _request_cost(backend: Backend, demand: Demand, near: DataCentre, now_ms: int) -> float:
+def _request_cost(backend: Backend, near: DataCentre, now_ms: int) -> float:
     told = 0
     if backend.load is not None and now_ms - backend.load_ms <= LOAD_VALID:
         told = backend.load.running + backend.load.waiting
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -89,8 +89,8 @@
                 )
             if demanded.gone:
                 raise CallerGone
-            sent += loss is not Loss.NOT_SENT
-            unsent += loss is Loss.NOT_SENT
+            sent += loss.taken
+            unsent += not loss.taken
             if loss.verdict is not v.Verdict.NOT_RUN:
                 verdict = v.Verdict.MAY_HAVE_RUN
             progress = Progress(sent, unsent, self._left(demanded))
@@ -98,7 +98,7 @@
                 return failure or self._give_up(demanded, verdict, progress.left)
 
     def _may_spend(self, loss: Loss) -> bool:
-        return loss is Loss.NOT_SENT or self._budget.take(self._clock.elapsed_ms())
+        return not loss.taken or self._budget.take(self._clock.elapsed_ms())
 
     def _attempt(self, demanded: Demanded, backend, timeout: Duration) -> Whole:
         attempt = self._attempts.begin(demanded, backend, timeout)
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -89,6 +89,13 @@
             REQUESTS.labels(kind, str(status)).inc()
             elapsed_ms = self._clock.elapsed_ms() - call.received_ms
             LATENCY.labels(kind).observe(elapsed_ms / _MS_PER_S)
+            log_decision(
+                "request_ended",
+                request=call.headers.get("request-id", ""),
+                kind=kind,
+                status=status,
+                elapsed_ms=elapsed_ms,
+            )
 
     def _answer(self, call: Call, demanded: Demanded) -> int:
         if demanded.route.kind is RouteKind.STREAM:
--- a/packages/relay/src/nutmegdrum_relay/retry_policy.py
+++ b/packages/relay/src/nutmegdrum_relay/retry_policy.py
@@ -8,8 +8,8 @@
 
 from nutmegdrum_relay.documents import Route, RouteKind
 
-MAX_CONNECT_ATTEMPTS = 4
-"""Backend servers tried for one request whose connections failed before anything was sent."""
+MAX_UNSENT_ATTEMPTS = 8
+"""Attempts of one request that reach no backend server; a data centre's three, twice over."""
 
 MAX_COME_BACK = Duration(1_000)
 """Longest time after which a refused caller should come back; a crashed engine is back sooner."""
@@ -22,15 +22,21 @@
     """How an attempt ended without an answer that can be passed on."""
 
     NOT_SENT = "not-sent"
+    OTHER_BACKEND = "other-backend"
     NOT_RUN = "not-run"
     BROKEN = "broken"
     SILENT = "silent"
     FAILED = "failed"
 
+    @property
+    def taken(self) -> bool:
+        """Return whether the backend server that was meant took the request."""
+        return self not in (Loss.NOT_SENT, Loss.OTHER_BACKEND)
+
     @property
     def verdict(self) -> Verdict:
         """Return whether the request may have run."""
-        if self in (Loss.NOT_SENT, Loss.NOT_RUN):
+        if self in (Loss.NOT_SENT, Loss.OTHER_BACKEND, Loss.NOT_RUN):
             return Verdict.NOT_RUN
         return Verdict.RAN if self is Loss.FAILED else Verdict.MAY_HAVE_RUN
 
@@ -41,9 +47,9 @@
     Attributes
     ----------
     sent : int
-        Backend servers that the request was sent to.
+        Backend servers that took the request.
     unsent : int
-        Backend servers that took no connection.
+        Attempts that reached no backend server, or another one than they were meant for.
     left : Duration
         Time until the request's deadline.
     """
@@ -60,8 +66,8 @@
     """
     if progress.left <= 0 or progress.sent >= route.max_attempts:
         return False
-    if loss is Loss.NOT_SENT:
-        return progress.unsent < MAX_CONNECT_ATTEMPTS
+    if not loss.taken:
+        return progress.unsent < MAX_UNSENT_ATTEMPTS
     if loss is Loss.NOT_RUN or route.idempotent:
         return True
     return route.kind is RouteKind.STREAM and route.resumable
--- a/packages/relay/src/nutmegdrum_relay/settings.py
+++ b/packages/relay/src/nutmegdrum_relay/settings.py
@@ -71,7 +71,7 @@
     max_requests: int = 128
     list_poll: Duration = Duration(1_000)
     document_wait: Duration = Duration(500)
-    shutdown_notice: Duration = Duration(3_000)
+    shutdown_notice: Duration = Duration(2_500)
     stop_within: Duration = Duration(10_000)
 
 
--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -24,7 +24,7 @@
 from nutmegdrum_relay.membership import wanted_vms
 from nutmegdrum_relay.revisions import PutAnswer, PutDocument, Revision, Revisions, VersionTaken
 from nutmegdrum_relay.settings import RelaySettings
-from nutmegdrum_relay.views import ControlView, EntryReport
+from nutmegdrum_relay.views import ControlView, EntryReport, Work
 
 PROPOSE_TIMEOUT = Duration(900)
 """Wait for a commit; operators move on to another replica after a second without an answer."""
@@ -35,6 +35,7 @@
 MEMBERS_PERIOD = Duration(300)
 """Time between two looks at the members; well below the time after which one is replaced."""
 
+NO_WORK = Work()
 _MS_PER_S = 1_000
 
 
@@ -253,7 +254,8 @@
             version=revision.version,
             source=revision.source if newer else b"",
             replicas=tuple(Address(member.vm) for member in self._log.members().everyone()),
-            tokens=self._others_tokens(decoded.vm),
+            work=self._others_work(decoded.vm),
+            down=self._others_down(decoded.vm),
         )
         return pack(view)
 
@@ -273,17 +275,25 @@
         with self._reports_lock:
             self._reports[report.vm] = (self._clock.elapsed_ms(), report)
 
-    def _others_tokens(self, vm: VmId) -> dict[BackendId, int]:
+    def _others_reports(self, vm: VmId) -> list[EntryReport]:
         oldest_ms = self._clock.elapsed_ms() - REPORT_VALID
-        total: dict[BackendId, int] = {}
         with self._reports_lock:
-            for other, (at_ms, report) in self._reports.items():
-                if other == vm or at_ms < oldest_ms:
-                    continue
-                for backend, tokens in report.tokens.items():
-                    total[backend] = total.get(backend, 0) + tokens
+            return [
+                report
+                for other, (at_ms, report) in self._reports.items()
+                if other != vm and at_ms >= oldest_ms
+            ]
+
+    def _others_work(self, vm: VmId) -> dict[BackendId, Work]:
+        total: dict[BackendId, Work] = {}
+        for report in self._others_reports(vm):
+            for backend, work in report.work.items():
+                total[backend] = total.get(backend, NO_WORK) + work
         return total
 
+    def _others_down(self, vm: VmId) -> tuple[BackendId, ...]:
+        return tuple({backend for report in self._others_reports(vm) for backend in report.down})
+
     def _watch_members(self) -> None:
         while not self._stopped.wait(MEMBERS_PERIOD / _MS_PER_S):
             self._look_at_members()
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -24,7 +24,7 @@
 from nutmegdrum_relay.sse import Event, EventSplitter
 from nutmegdrum_relay.upstream import Broken
 
-FIRST_EVENT_TIMEOUT = Duration(6_000)
+FIRST_EVENT_TIMEOUT = Duration(9_000)
 """Wait for an answer's head, after which another engine is tried; docs/design/platform.md,
 silent engines."""
 
@@ -50,6 +50,7 @@
     tried: list[BackendId] = field(default_factory=list)
     copy: Backend | None = None
     last_loss: Loss = Loss.NOT_SENT
+    went_on_from_copy: bool = False
 
 
 class StreamRelay:
@@ -95,8 +96,10 @@
     def _next_engine(self, demanded: Demanded, run: _Run) -> tuple[Backend | None, Backend | None]:
         """Return the engine for the next attempt, and the one whose copy it goes on from."""
         copy, run.copy = run.copy, None
-        if copy is not None and copy.health(self._clock.elapsed_ms()) is Health.UP:
-            return copy, copy
+        if copy is not None:
+            copy = self._attempts.successor(copy)
+            if copy.health(self._clock.elapsed_ms()) is Health.UP:
+                return copy, copy
         return self._attempts.choose(demanded, run.tried), None
 
     def _attempt(
@@ -109,6 +112,7 @@
         left: Duration,
     ) -> int:
         run.tried.append(backend.id)
+        run.went_on_from_copy = copy_at is not None
         run.copy = self._attempts.choose_copy(demanded, backend, run.tried)
         attempt = self._attempts.begin(
             demanded,
@@ -150,6 +154,8 @@
         except TimeoutError as exc:
             raise Lost(Loss.SILENT, "no event in time") from exc
         except Broken as exc:
+            if not attempt.exchange.aborted:
+                self._attempts.on_broken(attempt)
             raise Lost(Loss.BROKEN, str(exc)) from exc
         if splitter.rest:
             raise Lost(Loss.BROKEN, "the stream ended in the middle of an event")
@@ -178,11 +184,14 @@
             last_event=run.last_event_id,
             detail=str(lost),
         )
-        run.sent += lost.loss is not Loss.NOT_SENT
-        run.unsent += lost.loss is Loss.NOT_SENT
+        run.sent += lost.loss.taken
+        run.unsent += not lost.loss.taken
         run.last_loss = lost.loss
-        if lost.loss in (Loss.NOT_SENT, Loss.NOT_RUN):
+        if lost.loss.verdict is v.Verdict.NOT_RUN:
             run.copy = None
+            if run.went_on_from_copy and lost.loss is Loss.NOT_RUN:
+                # It has no copy, and may take the request without one.
+                run.tried.remove(backend.id)
             return
         run.verdict = v.Verdict.MAY_HAVE_RUN
         self._budget.on_recovery(self._clock.elapsed_ms())
