Spread prompts at random over near-equal engines, tell work every 100 ms, ask silent engines early

Prompts read together delay the running generations too. Dark engines were noticed after 1.2 s, so each stream there paused for longer than callers take for in time.

Change: the leader answers reports within 100 ms (paced by the number of entry VMs), costs differ at random by up to half a prompt, resident tokens weigh more; an engine is asked after 250 ms of silence of all its streams, twice 130 ms. An entry VM without a document says 1 s, not 0.5 s, to come back.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -170,7 +170,8 @@
             0 if copy_at is not None else demanded.demand.prompt_tokens, demanded.demand.tokens
         )
         self._backends.add(backend, work)
-        self._running.add(backend, exchange, self._clock.elapsed_ms())
+        if demanded.route.kind is RouteKind.STREAM:
+            self._running.add(backend, exchange, self._clock.elapsed_ms())
         demanded.set_exchange(exchange)
         try:
             terms = AttemptTerms(
--- a/packages/relay/src/nutmegdrum_relay/document_follower.py
+++ b/packages/relay/src/nutmegdrum_relay/document_follower.py
@@ -47,7 +47,7 @@
         self._client = client
         self._backends = backends
         self._decode = decode
-        self._wait = wait
+        self._wait_ms = int(wait)
         self._changed = changed
         self._reached = True
         self.table: RoutingTable | None = None
@@ -73,7 +73,7 @@
         report = EntryReport(
             vm=self._vm,
             version=version,
-            wait_ms=int(self._wait),
+            wait_ms=self._wait_ms,
             work=self._backends.own_work(),
             down=self._backends.down(),
         )
@@ -82,6 +82,7 @@
         if view is None:
             return False
         if view.fresh:
+            self._wait_ms = view.wait_ms
             self._backends.set_others(view.work)
             self._backends.set_down(view.down)
         if view.version > version and view.source:
--- a/packages/relay/src/nutmegdrum_relay/placement.py
+++ b/packages/relay/src/nutmegdrum_relay/placement.py
@@ -22,9 +22,13 @@
 OTHER_DATA_CENTRE_PENALTY = 0.1
 """Requests that the way to another data centre counts for, so that ties stay near."""
 
-RESIDENT_WEIGHT = 0.15
-"""Weight of a token held in memory against one to be read: a running generation makes each step
-of the others a little longer, an unread prompt delays them by its whole length."""
+RESIDENT_WEIGHT = 0.35
+"""Weight of a token held in memory against one to be read: a prompt delays each running generation
+while it is read, and waits itself behind all unread ones."""
+
+SPREAD = 0.5
+"""Prompts up to which costs differ at random: what other entry VMs sent in the last moments is not
+known yet, and without it all of them choose the same engine."""
 
 NO_ROOM_PENALTY = 8.0
 """Prompts that a full memory counts for: a generation there is preempted and read again."""
@@ -70,7 +74,8 @@
         return None
     if demand.tokens:
         return min(
-            usable, key=lambda b: (_generation_cost(b, demand, cache_tokens, near), rng.random())
+            usable,
+            key=lambda b: _generation_cost(b, demand, cache_tokens, near) + SPREAD * rng.random(),
         )
     return min(usable, key=lambda b: (_request_cost(b, near, now_ms), rng.random()))
 
@@ -99,7 +104,7 @@
     apart = [b for b in others if b.data_centre != primary.data_centre] or others
     if not apart:
         return None
-    return min(apart, key=lambda b: (_work_cost(b, demand), rng.random()))
+    return min(apart, key=lambda b: _work_cost(b, demand) + SPREAD * rng.random())
 
 
 def _work_cost(backend: Backend, demand: Demand) -> float:
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -29,8 +29,9 @@
     buckets=(0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 25),
 )
 
-NO_DOCUMENT_RETRY = Duration(500)
-"""When to come back to an entry VM without a routing document; it asks for one this often."""
+NO_DOCUMENT_RETRY = Duration(1_000)
+"""When to come back to an entry VM without a routing document: a restarted cluster has a leader by
+then; docs/design/platform.md, recovery."""
 
 _MS_PER_S = 1_000
 
--- a/packages/relay/src/nutmegdrum_relay/running.py
+++ b/packages/relay/src/nutmegdrum_relay/running.py
@@ -1,4 +1,4 @@
-"""Exchanges that run now, so that a silent backend server or a gone caller can end them."""
+"""Streams that run now, so that those of a silent engine can be ended together."""
 
 import threading
 
@@ -9,7 +9,7 @@
 
 
 class Running:
-    """Running exchanges by backend server; thread-safe."""
+    """Running streams' exchanges by backend server; thread-safe."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
--- a/packages/relay/src/nutmegdrum_relay/silence.py
+++ b/packages/relay/src/nutmegdrum_relay/silence.py
@@ -15,16 +15,17 @@
 from nutmegdrum_relay.running import Running
 from nutmegdrum_relay.upstream import Broken, NotSent, Upstream
 
-SILENCE = Duration(800)
-"""Silence after which a backend server is asked; docs/design/platform.md, silent engines."""
+SILENCE = Duration(250)
+"""Silence after which an engine is asked; docs/design/platform.md, silent engines."""
 
-REPORT_TIMEOUT = Duration(400)
-"""Time for the report; docs/design/platform.md, silent engines."""
+REPORT_TIMEOUTS = (Duration(130), Duration(130))
+"""Time for each try of the report; a second one, since a packet may be lost. Silence and tries
+together stay below the pause of 700 ms that callers take for a late answer (the users' sheet)."""
 
-ASK_AGAIN = Duration(2_000)
-"""Time after a report until the same backend server is asked again."""
+ASK_AGAIN = Duration(1_000)
+"""Time after a report until the same engine is asked again."""
 
-PERIOD = Duration(100)
+PERIOD = Duration(50)
 _ASKERS = 4
 _MS_PER_S = 1_000
 
@@ -89,15 +90,17 @@
         )
 
     def _reports(self, backend: Backend) -> bool:
+        return any(self._answers(backend, timeout) for timeout in REPORT_TIMEOUTS)
+
+    def _answers(self, backend: Backend, timeout: Duration) -> bool:
         try:
-            exchange = self._upstream.open(
-                backend.id, backend.address, fresh=True, timeout=REPORT_TIMEOUT
-            )
+            # No kept connection: a silent one says nothing about the engine.
+            exchange = self._upstream.connect(backend.address, timeout)
         except NotSent:
             return False
         try:
             exchange.send("GET", self._report_path, [("Host", backend.address)], b"")
-            exchange.receive(REPORT_TIMEOUT)
+            exchange.receive(timeout)
         except (TimeoutError, Broken):
             return False
         finally:
--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -32,6 +32,12 @@
 REPORT_VALID = Duration(2_000)
 """Time for which an entry VM's report counts; several of its report periods."""
 
+MIN_REPORT_WAIT = Duration(100)
+"""Shortest wait of a report; placement needs what others sent within a tenth of a prompt's time."""
+
+REPORTS_PER_S = 100
+"""Reports a second that a leader takes; docs/design/platform.md, cost of reports."""
+
 MEMBERS_PERIOD = Duration(300)
 """Time between two looks at the members; well below the time after which one is replaced."""
 
@@ -39,6 +45,11 @@
 _MS_PER_S = 1_000
 
 
+def report_wait_ms(entry_vms: int) -> int:
+    """Return how long each entry VM's report may wait, so that a leader's work stays bounded."""
+    return max(MIN_REPORT_WAIT, entry_vms * _MS_PER_S // REPORTS_PER_S)
+
+
 def replica_vm(address: Address) -> VmId:
     """Return a state replica's VM id, which is the address of its peers' listener.
 
@@ -256,6 +267,7 @@
             replicas=tuple(Address(member.vm) for member in self._log.members().everyone()),
             work=self._others_work(decoded.vm),
             down=self._others_down(decoded.vm),
+            wait_ms=report_wait_ms(len(self._others_reports(decoded.vm)) + 1),
         )
         return pack(view)
 
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -209,6 +209,16 @@
         if kept is not None:
             REUSED.inc()
             return Exchange(kept, address)
+        return self.connect(address, timeout)
+
+    def connect(self, address: Address, timeout: Duration = CONNECT_TIMEOUT) -> Exchange:
+        """Return an exchange on a new connection.
+
+        Raises
+        ------
+        NotSent
+            If no connection could be made.
+        """
         conn = HTTPConnection(
             address.host,
             address.port,
--- a/packages/relay/src/nutmegdrum_relay/views.py
+++ b/packages/relay/src/nutmegdrum_relay/views.py
@@ -66,6 +66,8 @@
         Work of the other entry VMs' requests on each backend server.
     down : tuple of BackendId
         Backend servers that other entry VMs found down.
+    wait_ms : int
+        Time that the entry VM may let the next report wait, in ms.
     """
 
     fresh: bool
@@ -74,3 +76,4 @@
     replicas: tuple[Address, ...] = ()
     work: dict[BackendId, Work] = {}
     down: tuple[BackendId, ...] = ()
+    wait_ms: int = 500
