--- /dev/null
+++ b/packages/relay/src/nutmegdrum_relay/cli.py
@@ -0,0 +1,116 @@
+"""Command line `nutmegdrum-relay`: checks files, and puts and shows routing documents."""
+
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+from nutmegdrum.errors import UserError
+from nutmegdrum.rpc import PeerUnreachable, RpcClient
+from nutmegdrum.units import Address, parse_address
+from nutmegdrum_coord import verdict as v
+from nutmegdrum_coord.parts import decode_answer, encode_command
+from nutmegdrum_wire.gen.messages.ttypes import Sender
+
+from nutmegdrum_relay.documents import DocumentCodec
+from nutmegdrum_relay.revisions import PutAnswer, PutDocument, VersionTaken
+from nutmegdrum_relay.settings import load_relay_settings
+
+TIMEOUT_MS = 3_000
+"""Wait for a state replica's answer, in ms; above its own wait for a commit."""
+
+OPERATOR = "nutmegdrum-relay"
+
+
+@cappa.command(name="check", help="Check a settings file.")
+@dataclass
+class Check:
+    """Arguments of `check`."""
+
+    file: Path
+
+    def __call__(self) -> None:
+        """Load the file; a mistake becomes a `UserError`."""
+        cfg = load_relay_settings(self.file)
+        print(f"{self.file}: {cfg.role.value} on {cfg.place.name}")
+
+
+@dataclass
+class _Calls:
+    """Arguments of the commands that call the state replicas."""
+
+    replica: Annotated[list[str], cappa.Arg(long=True, help="Peers' listener of a state replica.")]
+    deployment: Annotated[str, cappa.Arg(long=True)] = "nutmegdrum"
+
+    def first_answer(self, method: str, *args: object) -> bytes:
+        """Return the first answer of a replica that takes the call.
+
+        Raises
+        ------
+        UserError
+            If none does.
+        """
+        rpc = RpcClient(Sender(self.deployment, OPERATOR, ""))
+        problems = []
+        for address in map(_address, self.replica):
+            try:
+                return rpc.call(address, method, *args, timeout_ms=TIMEOUT_MS)
+            except (PeerUnreachable, v.Refusal) as exc:
+                problems.append(f"{address}: {exc}")
+        raise UserError("; ".join(problems))
+
+
+@cappa.command(name="put", help="Put a routing document in force.")
+@dataclass
+class Put(_Calls):
+    """Arguments of `put`."""
+
+    file: Annotated[Path, cappa.Arg(long=True)] = Path("routing.json")
+
+    def __call__(self) -> None:
+        """Check the document, then commit it."""
+        source = self.file.read_bytes()
+        document = DocumentCodec().decode(source)
+        command = PutDocument(version=document.version, source=source)
+        answer = decode_answer(
+            self.first_answer("propose", encode_command(command, who=OPERATOR)), PutAnswer
+        )
+        if isinstance(answer, VersionTaken):
+            raise UserError(f"Another document holds version {answer.version} - at `$.version`")
+        print(f"version {answer.newest} is in force")
+
+
+@cappa.command(name="show", help="Show the newest routing document.")
+@dataclass
+class Show(_Calls):
+    """Arguments of `show`."""
+
+    def __call__(self) -> None:
+        """Read the document under the leader's lease."""
+        sys.stdout.write(self.first_answer("read", b"", True).decode())
+
+
+@cappa.command(name="nutmegdrum-relay", help="Check files, put and show routing documents.")
+@dataclass
+class Arguments:
+    """Arguments of the program."""
+
+    command: cappa.Subcommands[Check | Put | Show]
+
+
+def _address(text: str) -> Address:
+    try:
+        return parse_address(text)
+    except ValueError as exc:
+        raise UserError(str(exc)) from None
+
+
+def main() -> None:
+    """Run a command; the entry point of `nutmegdrum-relay`."""
+    try:
+        cappa.invoke(Arguments)
+    except UserError as exc:
+        sys.exit(f"nutmegdrum-relay: {exc}")
+    except OSError as exc:
+        sys.exit(f"nutmegdrum-relay: {exc}")
--- a/packages/relay/src/nutmegdrum_relay/placement.py
+++ b/packages/relay/src/nutmegdrum_relay/placement.py
@@ -26,7 +26,7 @@
 """Weight of a token held in memory against one to be read: a prompt delays each running generation
 while it is read, and waits itself behind all unread ones."""
 
-SPREAD = 0.5
+SPREAD = 1.0
 """Prompts up to which costs differ at random: what other entry VMs sent in the last moments is not
 known yet, and without it all of them choose the same engine."""
 
--- /dev/null
+++ b/packages/relay/tests/test_backends.py
@@ -0,0 +1,85 @@
+import pytest
+from nutmegdrum.units import Address
+from nutmegdrum_coord.clock import ManualClock
+from nutmegdrum_relay.backends import FIRST_PAUSE, MAX_PAUSE, TOLD_PAUSE, Backends, Health
+from nutmegdrum_relay.views import Work
+from nutmegdrum_testing.relay_world import SERVICE, listed
+
+ONE = Address("10.0.0.1:80")
+TWO = Address("10.0.0.2:80")
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(1_000)
+
+
+@pytest.fixture
+def backends(clock):
+    backends = Backends(clock)
+    backends.set_listing([listed("a", ONE), listed("b", TWO)])
+    return backends
+
+
+def named(backends, name):
+    return next(b for b in backends.of_service(SERVICE) if b.id == name)
+
+
+class TestListing:
+    def test_leaving_backend_servers_get_nothing_new(self, backends):
+        backends.set_listing([listed("a", ONE, leaving=True), listed("b", TWO)])
+        assert [b.id for b in backends.of_service(SERVICE)] == ["b"]
+
+    def test_work_is_kept_while_a_backend_server_is_listed(self, backends):
+        backends.add(named(backends, "a"), Work(5, 6))
+        backends.set_listing([listed("a", ONE), listed("b", TWO)])
+        assert backends.own_work() == {"a": Work(5, 6)}
+
+    def test_the_older_of_two_at_one_address_has_ended(self, backends):
+        # ksh-fleet, trouble-1: copies were sent to ids that had crashed and were still listed.
+        old = named(backends, "a")
+        backends.set_listing([listed("a", ONE), listed("b", TWO), listed("c", ONE)])
+        assert [b.id for b in backends.of_service(SERVICE)] == ["b", "c"]
+        assert backends.successor(old).id == "c"
+
+    def test_a_copy_is_looked_for_at_its_address_only_within_the_service(self, backends):
+        old = named(backends, "a")
+        other = listed("c", ONE)._replace(service="other")
+        backends.set_listing([listed("b", TWO), other])
+        assert backends.successor(old) is old
+
+
+class TestPauses:
+    def test_pauses_grow_and_end(self, backends, clock):
+        backend = named(backends, "a")
+        for expected in (FIRST_PAUSE, 2 * FIRST_PAUSE, 4 * FIRST_PAUSE, MAX_PAUSE, MAX_PAUSE):
+            backends.on_down(backend, "test")
+            clock.advance(expected - 1)
+            assert backend.health(clock.elapsed_ms()) is Health.PAUSED
+            clock.advance(1)
+            assert backend.health(clock.elapsed_ms()) is Health.UP
+
+    def test_an_answer_ends_the_growth(self, backends, clock):
+        backend = named(backends, "a")
+        backends.on_down(backend, "test")
+        clock.advance(FIRST_PAUSE)
+        backends.on_answer(backend, failed=False)
+        backends.on_down(backend, "test")
+        assert backend.pause_ms == FIRST_PAUSE
+
+    def test_what_others_found_down_is_paused_and_not_told_on(self, backends, clock):
+        backends.set_down(["a", "unknown"])
+        backend = named(backends, "a")
+        assert backend.health(clock.elapsed_ms()) is Health.PAUSED
+        assert backends.down() == ()
+        clock.advance(TOLD_PAUSE)
+        assert backend.health(clock.elapsed_ms()) is Health.UP
+
+    def test_own_finds_are_told(self, backends):
+        backends.on_down(named(backends, "a"), "test")
+        assert backends.down() == ("a",)
+
+    def test_a_replaced_backend_server_gets_nothing_however_long_it_is_listed(self, backends):
+        backends.on_replaced(named(backends, "a"))
+        backends.set_listing([listed("a", ONE), listed("b", TWO)])
+        assert [b.id for b in backends.of_service(SERVICE)] == ["b"]
--- /dev/null
+++ b/packages/relay/tests/test_placement.py
@@ -0,0 +1,140 @@
+import random
+from collections import Counter
+
+from nutmegdrum.units import Address
+from nutmegdrum_coord.clock import ManualClock
+from nutmegdrum_relay.backends import Backends
+from nutmegdrum_relay.dialect import Load
+from nutmegdrum_relay.placement import Demand, choose_backend, choose_copy
+from nutmegdrum_relay.views import Work
+from nutmegdrum_testing.relay_world import SERVICE, listed
+
+PROMPT = Demand(5_000, 840)
+MEMORY = 55_000
+
+
+def engines(count=9, clock=None):
+    clock = clock or ManualClock(1_000)
+    backends = Backends(clock)
+    backends.set_listing(
+        [listed(f"b{i}", Address(f"10.0.0.{i}:80"), f"dc{i % 3}") for i in range(count)]
+    )
+    return backends
+
+
+def choose(backends, demand=PROMPT, tried=(), rng=None, now_ms=1_000, near="dc0"):
+    return choose_backend(
+        backends.of_service(SERVICE), demand, MEMORY, near, tried, now_ms, rng or random.Random(1)
+    )
+
+
+class TestGenerations:
+    def test_prompts_go_where_none_waits(self):
+        backends = engines(3)
+        rng = random.Random(3)
+        for _ in range(3):
+            backends.add(choose(backends, rng=rng), Work(5_000, 5_840))
+        assert [b.work.unread for b in backends.of_service(SERVICE)] == [5_000] * 3
+
+    def test_entry_vms_that_know_nothing_of_each_other_do_not_all_choose_alike(self):
+        # ksh-fleet, quiet-1: five entry VMs sent five prompts to one engine within 0.3 s.
+        worst = Counter()
+        for seed in range(200):
+            chosen = Counter()
+            for vm in range(6):
+                backends = engines()
+                for i, backend in enumerate(backends.of_service(SERVICE)):
+                    backends.add(backend, Work(0, 0 if i == 4 else 5_840))
+                chosen[choose(backends, rng=random.Random(seed * 6 + vm)).id] += 1
+            worst[max(chosen.values())] += 1
+        assert sum(n for most, n in worst.items() if most >= 5) <= 10
+
+    def test_told_work_of_others_counts(self):
+        backends = engines(2)
+        backends.set_others({"b0": Work(10_000, 11_680)})
+        for seed in range(20):
+            assert choose(backends, rng=random.Random(seed)).id == "b1"
+
+    def test_a_full_memory_is_the_last_choice(self):
+        backends = engines(2)
+        full, free = backends.of_service(SERVICE)
+        backends.add(full, Work(0, 54_000))
+        backends.add(free, Work(15_000, 17_500))
+        assert choose(backends) is free
+
+    def test_tried_engines_are_left_out_and_paused_ones_are_the_last(self):
+        backends = engines(3)
+        first, second, third = backends.of_service(SERVICE)
+        backends.on_down(second, "test")
+        assert choose(backends, tried=[first.id]) is third
+        assert choose(backends, tried=[first.id, third.id]) is second
+        assert choose(backends, tried=[b.id for b in (first, second, third)]) is None
+
+    def test_load_of_a_day_leaves_first_events_in_time(self):
+        """Play 2.3 prompts a second on 6 entry VMs that learn of each other 150 ms late."""
+        rng = random.Random(11)
+        reads_ms = 1_000
+        free_at = Counter()
+        waits = []
+        vms = [engines() for _ in range(6)]
+        sent: list[tuple[int, int, str]] = []
+        now = 0
+        while now < 120_000:
+            now += int(rng.expovariate(2.3 / 1_000))
+            vm = rng.randrange(6)
+            for other, backends in enumerate(vms):
+                told = Counter(
+                    b for at, by, b in sent if by != other and at + 150 <= now < at + 150 + reads_ms
+                )
+                backends.set_others({b: Work(5_000 * n, 5_840 * n) for b, n in told.items()})
+            backend = choose(vms[vm], rng=rng)
+            start = max(now, free_at[backend.id])
+            free_at[backend.id] = start + reads_ms
+            waits.append(start + reads_ms - now)
+            sent.append((now, vm, backend.id))
+        waits.sort()
+        assert waits[int(len(waits) * 0.99)] <= 4_500
+        assert waits[int(len(waits) * 0.9)] <= 2_000
+
+
+class TestRequests:
+    def test_requests_go_where_the_fewest_run(self):
+        backends = engines(2)
+        busy, idle = backends.of_service(SERVICE)
+        backends.on_load(busy, Load(4, 2, 6))
+        backends.on_load(idle, Load(1, 0, 6))
+        assert choose(backends, Demand()) is idle
+
+    def test_a_told_load_is_forgotten_when_it_is_old(self):
+        clock = ManualClock(1_000)
+        backends = engines(2, clock)
+        near, far = backends.of_service(SERVICE)
+        backends.on_load(near, Load(4, 2, 6))
+        assert choose(backends, Demand(), now_ms=1_000) is far
+        assert choose(backends, Demand(), now_ms=5_000) is near
+
+    def test_failing_backend_servers_get_less(self):
+        backends = engines(2)
+        failing, sound = backends.of_service(SERVICE)
+        for _ in range(4):
+            backends.on_answer(failing, failed=True)
+        assert choose(backends, Demand()) is sound
+
+
+class TestCopies:
+    def copy_of(self, backends, primary, tried=()):
+        return choose_copy(
+            backends.of_service(SERVICE), primary, PROMPT, MEMORY, tried, 1_000, random.Random(2)
+        )
+
+    def test_copies_go_to_another_data_centre(self):
+        backends = engines()
+        for primary in backends.of_service(SERVICE):
+            assert self.copy_of(backends, primary).data_centre != primary.data_centre
+
+    def test_no_copy_where_memory_is_full_or_the_engine_is_down(self):
+        backends = engines(3)
+        primary, second, third = backends.of_service(SERVICE)
+        backends.add(second, Work(0, MEMORY))
+        backends.on_down(third, "test")
+        assert self.copy_of(backends, primary) is None
--- a/packages/testing/src/nutmegdrum_testing/reference.py
+++ b/packages/testing/src/nutmegdrum_testing/reference.py
@@ -10,8 +10,10 @@
 
 import msgspec
 import nutmegdrum
+import nutmegdrum_relay
 from nutmegdrum.settings import Settings
 from nutmegdrum.units import Address, Duration, Size
+from nutmegdrum_relay.settings import RelaySettings
 from prometheus_client import REGISTRY
 
 FOLDER = Path("docs/reference")
@@ -21,23 +23,33 @@
 
 def settings_page() -> str:
     """Return the page of all settings."""
+    return _settings_page("Settings", Settings, "nutmegdrum settings check FILE")
+
+
+def relay_settings_page() -> str:
+    """Return the page of all settings of relay daemons."""
+    return _settings_page("Relay settings", RelaySettings, "nutmegdrum-relay check FILE")
+
+
+def _settings_page(title: str, kind: type, check: str) -> str:
     lines = [
-        "# Settings",
+        f"# {title}",
         "",
         "One JSON file a daemon. Durations and sizes are written with a unit (`250ms`, `3s`, "
         "`5min`; `64KiB`, `8MiB`), addresses as IP number and port. Unknown keys are refused. "
-        "Check a file with `nutmegdrum settings check FILE`.",
+        f"Check a file with `{check}`.",
         "",
         "Generated from the code by `python -m nutmegdrum_testing.reference`.",
     ]
-    _describe(Settings, "", lines, set())
+    _describe(kind, "", lines, set())
     return "\n".join(lines) + "\n"
 
 
 def metrics_page() -> str:
     """Return the page of all metrics."""
-    for module in pkgutil.iter_modules(nutmegdrum.__path__):
-        importlib.import_module(f"nutmegdrum.{module.name}")
+    for package in (nutmegdrum, nutmegdrum_relay):
+        for module in pkgutil.iter_modules(package.__path__):
+            importlib.import_module(f"{package.__name__}.{module.name}")
     lines = [
         "# Metrics",
         "",
@@ -64,7 +76,7 @@
         lines.append(f"| `{field.name}` | {_type_name(field.type)} | {_default(field)} |")
         inner = _inner_struct(field.type)
         if inner is not None and inner not in seen:
-            suffix = "[]" if get_origin(field.type) is list else ""
+            suffix = "[]" if get_origin(field.type) in (list, tuple) else ""
             nested.append((f"{path}.{field.name}{suffix}".lstrip("."), inner))
     for inner_path, inner in nested:
         _describe(inner, inner_path, lines, seen)
@@ -81,9 +93,13 @@
     if kind in (Duration, Size, Address):
         return kind.__name__.lower()
     if get_origin(kind) is not None:
-        args = [_type_name(arg) for arg in get_args(kind) if arg is not type(None)]
+        args = [_type_name(arg) for arg in get_args(kind) if arg not in (type(None), ...)]
         name = getattr(get_origin(kind), "__name__", "")
-        return f"{name} of {', '.join(args)}" if name in ("list", "dict") else " or ".join(args)
+        return (
+            f"{name} of {', '.join(args)}"
+            if name in ("list", "dict", "tuple")
+            else " or ".join(args)
+        )
     if hasattr(kind, "__supertype__"):
         return _type_name(kind.__supertype__)
     if isinstance(kind, type) and hasattr(kind, "__members__"):
@@ -109,6 +125,7 @@
 def main() -> None:
     """Write the pages."""
     (FOLDER / "settings.md").write_text(settings_page())
+    (FOLDER / "relay-settings.md").write_text(relay_settings_page())
     (FOLDER / "metrics.md").write_text(metrics_page())
 
 
