Tell entry VMs the last committed document before a leader is elected

A restarted replica doesn't know which of its last entries are committed.

Change: each replica keeps the newest committed document in a file of its own, written beside the log, and answers reports with it (not as fresh). Operators' reads still need the lease.

Ruled out: shorter elections (a restarted replica must wait out what it may have promised); handing out uncommitted entries (a later leader may lack them).

The new test of a restarted replica failed before.

--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import TimeoutError as FutureTimeoutError
+from pathlib import Path
 
 from nutmegdrum.errors import UserError
 from nutmegdrum.lognode import LogNode
@@ -20,6 +21,7 @@
 from nutmegdrum_wire.gen.messages.ttypes import Sender
 
 from nutmegdrum_relay.decisions import log_decision
+from nutmegdrum_relay.document_cache import CacheWriter, DocumentCache
 from nutmegdrum_relay.documents import RoutingDocument
 from nutmegdrum_relay.membership import wanted_vms
 from nutmegdrum_relay.revisions import PutAnswer, PutDocument, Revision, Revisions, VersionTaken
@@ -133,6 +135,9 @@
         self._size = len(cfg.state_seeds)
         self._revisions = Revisions()
         self._shared = SharedState(PartedState([self._revisions]), clock)
+        cache = DocumentCache(Path(str(cfg.data_folder)))
+        self._cached = cache.load()
+        self._cache_writer = CacheWriter(cache)
         self._applied = threading.Condition()
         self._reports: dict[VmId, tuple[int, EntryReport]] = {}
         self._reports_lock = threading.Lock()
@@ -153,6 +158,7 @@
     def start(self) -> None:
         """Start the replica."""
         self._log.start()
+        self._cache_writer.start()
         self._members_thread.start()
 
     def stop(self) -> None:
@@ -258,7 +264,7 @@
             ):
                 self._applied.wait(left_ms / _MS_PER_S)
         fresh = self._log.is_leader()
-        revision = self._newest()
+        revision = max(self._newest(), self._cached, key=lambda r: r.version)
         newer = revision.version > decoded.version
         view = ControlView(
             fresh=fresh and self._log.is_leader(),
@@ -280,6 +286,7 @@
             return self._revisions.newest
 
     def _notify(self) -> None:
+        self._cache_writer.put(self._newest())
         with self._applied:
             self._applied.notify_all()
 
--- a/packages/relay/tests/test_state_role.py
+++ b/packages/relay/tests/test_state_role.py
@@ -1,16 +1,20 @@
+import contextlib
 import random
 import socket
 
 import pytest
 from nutmegdrum.errors import UserError
+from nutmegdrum.packing import pack, unpack
 from nutmegdrum.rpc import Guard, RpcClient, peers_server
 from nutmegdrum.settings import ControlSettings
 from nutmegdrum.units import Address, Duration
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import SystemClock
+from nutmegdrum_relay.document_cache import FILE
 from nutmegdrum_relay.documents import DocumentCodec
 from nutmegdrum_relay.settings import Listen, Place, RelayRole, RelaySettings
 from nutmegdrum_relay.state_role import StatePeers, StateRole, replica_vm
+from nutmegdrum_relay.views import ControlView, EntryReport
 from nutmegdrum_testing.waiting import wait_for
 from nutmegdrum_wire.gen.messages.ttypes import Sender
 
@@ -52,15 +56,28 @@
         self.state = StateRole(cfg, SystemClock(), rng, rpc, DocumentCodec().decode)
         guard = Guard(StatePeers(self.state), DEPLOYMENT, self.state.leader)
         self.server = peers_server(self.address, guard)
-        self.server.bind()
+        wait_for(self._bind)
         self.state.start()
         self.server.start()
 
+    def _bind(self):
+        try:
+            self.server.bind()
+        except OSError:
+            return False
+        return True
+
     def leads(self):
         return self.state._log.is_leader()
 
     def stop(self):
         self.server.stop()
+        # Wakes the thread that still accepts, so that the address is free for a successor.
+        with (
+            contextlib.suppress(OSError),
+            socket.create_connection((self.address.host, self.address.port), 1),
+        ):
+            pass
         self.state.stop()
 
 
@@ -107,3 +124,53 @@
         with pytest.raises(UserError, match="holds version 3"):
             wait_for(lambda: put(cluster[0], b'{"version": 3 }'))
         assert wait_for(lambda: newest(cluster[0])) == b'{"version": 3}'
+
+
+def view_of(replica, version=0) -> ControlView:
+    report = EntryReport(vm="entry", version=version, wait_ms=0)
+    return unpack(replica.state.heartbeat(pack(report)), ControlView)
+
+
+class TestViews:
+    def test_a_restarted_replica_tells_the_last_committed_document_before_an_election(
+        self, cluster, tmp_path
+    ):
+        # ksh-fleet, scale-1: after all processes were killed, 44 requests were refused until
+        # a leader was elected.
+        wait_for(lambda: put(cluster[0], b'{"version": 3}'))
+        wait_for(lambda: (tmp_path / SEEDS[0] / FILE).exists())
+        port = cluster[0].address.port
+        for replica in cluster:
+            replica.stop()
+        alone = Replica(SEEDS[0], port, SEEDS, tmp_path / SEEDS[0], may_found=False)
+        view = view_of(alone)
+        assert (view.fresh, view.version, view.source) == (False, 3, b'{"version": 3}')
+        assert view_of(alone, version=3).source == b""
+        with pytest.raises(v.Refusal):
+            alone.state.newest_document()
+        alone.stop()
+
+
+class TestMembership:
+    def test_a_replica_at_another_address_takes_the_place_of_a_lost_one(self, cluster, tmp_path):
+        wait_for(lambda: put(cluster[0], b'{"version": 3}'))
+        lost = next(replica for replica in cluster if not replica.leads())
+        lost.stop()
+        rest = [replica for replica in cluster if replica is not lost]
+        host = "127.0.0.4"
+        port = lost.address.port
+        new = Replica(host, port, SEEDS, tmp_path / host, may_found=False)
+        voters = lambda: {m.vm for m in rest[0].state._log.members().voters}  # noqa: E731
+        expected = {replica_vm(replica.address) for replica in (*rest, new)}
+        wait_for(lambda: voters() == expected, timeout_s=30)
+        assert wait_for(lambda: newest(new)) == b'{"version": 3}'
+        new.stop()
+
+    def test_a_lost_disk_founds_no_second_cluster(self, cluster, tmp_path):
+        wait_for(lambda: put(cluster[0], b'{"version": 3}'))
+        lost = next(replica for replica in cluster if not replica.leads())
+        lost.stop()
+        host = lost.address.host
+        again = Replica(host, lost.address.port, SEEDS, tmp_path / "new", may_found=False)
+        assert wait_for(lambda: newest(again)) == b'{"version": 3}'
+        again.stop()
