Let the state leader read the list of backend servers for all entry VMs

Change: the leader reads twice a second and sends a list on when it changed; an entry VM reads by itself only while it hears of no leader that has read within 1.5 s.

--- a/packages/relay/src/nutmegdrum_relay/backends.py
+++ b/packages/relay/src/nutmegdrum_relay/backends.py
@@ -10,7 +10,7 @@
 
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import Listed, Load
-from nutmegdrum_relay.views import Work
+from nutmegdrum_relay.views import SharedListing, Work
 
 FIRST_PAUSE = Duration(300)
 """Pause after a backend server was found down; docs/design/platform.md, failing servers."""
@@ -19,6 +19,10 @@
 """Longest pause before a backend server is tried again; docs/design/platform.md, failing
 servers."""
 
+LISTING_VALID = Duration(1_500)
+"""Age of the list after which an entry VM reads it by itself; leaving backend servers must get
+nothing new after 3 s (the users' bound on draining)."""
+
 FAILURE_WEIGHT = 0.25
 """Weight of the newest exchange in a backend server's failure rate; four in a row count most."""
 
@@ -88,9 +92,26 @@
         self._lock = threading.Lock()
         self._backends: dict[BackendId, Backend] = {}
         self._others: dict[BackendId, Work] = {}
+        self._shared_ms: int | None = None
+        self.listing_name = ""
+
+    def lacks_listing(self) -> bool:
+        """Return whether the state leader's list is missing or too old."""
+        shared_ms = self._shared_ms
+        return shared_ms is None or self._clock.elapsed_ms() - shared_ms > LISTING_VALID
+
+    def set_shared_listing(self, shared: SharedListing) -> None:
+        """Take the list that the state leader read, or that it is still the same."""
+        if shared.listed is not None:
+            self.set_listing(shared.listed)
+            self.listing_name = shared.name
+        elif shared.name != self.listing_name:
+            return
+        self._shared_ms = self._clock.elapsed_ms() - shared.age_ms
 
     def set_listing(self, listing: Iterable[Listed]) -> None:
         """Replace the list; what is known of a backend server is kept while it is listed."""
+        self.listing_name = ""
         with self._lock:
             known = self._backends
             self._backends = {}
--- a/packages/relay/src/nutmegdrum_relay/daemon.py
+++ b/packages/relay/src/nutmegdrum_relay/daemon.py
@@ -10,6 +10,7 @@
 from nutmegdrum.ops import OpsListener
 from nutmegdrum.rpc import Guard, RpcClient, RpcServer, peers_server
 from nutmegdrum_coord.clock import SystemClock
+from nutmegdrum_coord.ids import IncarnationId
 from nutmegdrum_wire.gen.messages.ttypes import Sender
 
 from nutmegdrum_relay.decisions import log_decision
@@ -37,12 +38,13 @@
         rng = random.Random(random.SystemRandom().getrandbits(SEED_BITS))
         state_vm = replica_vm(cfg.listen.peers)
         vm = state_vm if cfg.role is RelayRole.STATE else cfg.place.name
-        rpc = RpcClient(Sender(cfg.deployment, vm, uuid.uuid4().hex))
+        incarnation = IncarnationId(uuid.uuid4().hex)
+        rpc = RpcClient(Sender(cfg.deployment, vm, incarnation))
         self.entry: EntryRole | None = None
         self.state: StateRole | None = None
         self._peers: RpcServer | None = None
         if cfg.role is RelayRole.STATE:
-            self.state = StateRole(cfg, clock, rng, rpc, dialect.decode_document)
+            self.state = StateRole(cfg, clock, rng, rpc, dialect, incarnation)
             guard = Guard(StatePeers(self.state), cfg.deployment, self.state.leader)
             self._peers = peers_server(cfg.listen.peers, guard)
         else:
--- a/packages/relay/src/nutmegdrum_relay/dialect.py
+++ b/packages/relay/src/nutmegdrum_relay/dialect.py
@@ -95,8 +95,8 @@
     ----------
     leaving : bool
         Whether it will stop soon and gets no new requests.
-    warm_up_left : Duration
-        Time for which it stays slow after its start.
+    warming_up : bool
+        Whether it is still slow after its start.
     """
 
     id: BackendId
@@ -106,7 +106,7 @@
     version: VersionName
     slots: int
     leaving: bool
-    warm_up_left: Duration
+    warming_up: bool
 
 
 class ListingPage(NamedTuple):
--- a/packages/relay/src/nutmegdrum_relay/document_follower.py
+++ b/packages/relay/src/nutmegdrum_relay/document_follower.py
@@ -1,6 +1,5 @@
 """Keeps an entry VM's routing table up to date with the state replicas."""
 
-import threading
 from collections.abc import Callable
 
 from nutmegdrum.errors import UserError
@@ -12,13 +11,14 @@
 from nutmegdrum_relay.control_client import ControlClient
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.documents import RoutingDocument
+from nutmegdrum_relay.loop import Loop
 from nutmegdrum_relay.routing_table import RoutingTable
 from nutmegdrum_relay.views import ControlView, EntryReport
 
 RETRY = Duration(200)
 """Pause after an answer without news that came at once, as from a replica that does not lead."""
 
-_MS_PER_S = 1_000
+AT_ONCE = Duration(0)
 
 
 class DocumentFollower:
@@ -51,21 +51,9 @@
         self._changed = changed
         self._reached = True
         self.table: RoutingTable | None = None
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="documents", daemon=True)
-
-    def start(self) -> None:
-        """Start asking."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop asking."""
-        self._stopped.set()
-
-    def _run(self) -> None:
-        while not self._stopped.is_set():
-            if not self.ask():
-                self._stopped.wait(RETRY / _MS_PER_S)
+        self._loop = Loop("documents", lambda: AT_ONCE if self.ask() else RETRY)
+        self.start = self._loop.start
+        self.stop = self._loop.stop
 
     def ask(self) -> bool:
         """Ask once, and return whether a leader answered."""
@@ -76,6 +64,7 @@
             wait_ms=self._wait_ms,
             work=self._backends.own_work(),
             down=self._backends.down(),
+            listing=self._backends.listing_name,
         )
         view = self._client.report(report)
         self._note_reached(view)
@@ -85,6 +74,8 @@
             self._wait_ms = view.wait_ms
             self._backends.set_others(view.work)
             self._backends.set_down(view.down)
+            if view.listing is not None:
+                self._backends.set_shared_listing(view.listing)
         if view.version > version and view.source:
             self._put_in_force(view)
         return view.fresh
--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -75,7 +75,13 @@
             self._on_table,
         )
         self._list = ListReader(
-            cfg.backend_list, clock, rng, dialect, self._backends, cfg.entry.list_poll
+            cfg.backend_list,
+            clock,
+            rng,
+            dialect,
+            cfg.entry.list_poll,
+            self._backends.lacks_listing,
+            self._backends.set_listing,
         )
         attempts = Attempts(
             clock,
--- a/packages/relay/src/nutmegdrum_relay/list_reader.py
+++ b/packages/relay/src/nutmegdrum_relay/list_reader.py
@@ -1,15 +1,19 @@
-"""Reads the platform's list of backend servers."""
+"""Reads the platform's list of backend servers.
+
+Calls to the platform are rated and priced over all VMs, so the state leader reads for all and
+sends changes on. An entry VM reads by itself only while it hears of no leader that has read.
+"""
 
 import random
-import threading
+from collections.abc import Callable
 
 from nutmegdrum.units import Address, Duration
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import BackendId
 
-from nutmegdrum_relay.backends import Backends
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import Dialect, Listed
+from nutmegdrum_relay.loop import Loop
 from nutmegdrum_relay.upstream import Broken, NotSent, Upstream
 
 READ_TIMEOUT = Duration(800)
@@ -19,7 +23,6 @@
 JITTER = 0.2
 _OK = 200
 _LIST = BackendId("list")
-_MS_PER_S = 1_000
 
 
 class ListReader:
@@ -29,6 +32,10 @@
     ----------
     period : Duration
         Time between two readings.
+    wanted : callable
+        Returns whether this VM is to read now.
+    take : callable
+        Takes each list that was read.
     """
 
     def __init__(
@@ -37,32 +44,26 @@
         clock: Clock,
         rng: random.Random,
         dialect: Dialect,
-        backends: Backends,
         period: Duration,
+        wanted: Callable[[], bool],
+        take: Callable[[list[Listed]], None],
     ):
         self._address = address
         self._rng = rng
         self._dialect = dialect
-        self._backends = backends
         self._period = period
+        self._wanted = wanted
+        self._take = take
         self._upstream = Upstream(clock)
         self._readable = True
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="list", daemon=True)
-
-    def start(self) -> None:
-        """Start reading."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop reading."""
-        self._stopped.set()
+        self._loop = Loop("list", self._step)
+        self.start = self._loop.start
+        self.stop = self._loop.stop
 
-    def _run(self) -> None:
-        while not self._stopped.is_set():
+    def _step(self) -> Duration:
+        if self._wanted():
             self.read()
-            factor = 1 + JITTER * (self._rng.random() - 0.5)
-            self._stopped.wait(self._period * factor / _MS_PER_S)
+        return Duration(int(self._period * (1 + JITTER * (self._rng.random() - 0.5))))
 
     def read(self) -> None:
         """Read the whole list; what is known stays if that fails."""
@@ -79,7 +80,7 @@
             self._note(False, str(exc))
             return
         self._note(True, "")
-        self._backends.set_listing(listed)
+        self._take(listed)
 
     def _page(self, token: str) -> bytes:
         exchange = self._upstream.open(_LIST, self._address, fresh=False, timeout=READ_TIMEOUT)
--- a/packages/relay/src/nutmegdrum_relay/placement.py
+++ b/packages/relay/src/nutmegdrum_relay/placement.py
@@ -130,7 +130,7 @@
 
 def _common_cost(backend: Backend, near: DataCentre) -> float:
     cost = FAILURE_PENALTY * backend.failure_rate
-    if backend.listed.warm_up_left > 0:
+    if backend.listed.warming_up:
         cost += WARM_UP_PENALTY
     if backend.data_centre != near:
         cost += OTHER_DATA_CENTRE_PENALTY
--- a/packages/relay/src/nutmegdrum_relay/silence.py
+++ b/packages/relay/src/nutmegdrum_relay/silence.py
@@ -4,7 +4,6 @@
 report first, on a connection of its own, and given up only if that does not come either.
 """
 
-import threading
 from concurrent.futures import ThreadPoolExecutor
 
 from nutmegdrum.units import Duration
@@ -12,6 +11,7 @@
 
 from nutmegdrum_relay.backends import Backend, Backends
 from nutmegdrum_relay.decisions import log_decision
+from nutmegdrum_relay.loop import Loop
 from nutmegdrum_relay.running import Running
 from nutmegdrum_relay.upstream import Broken, NotSent, Upstream
 
@@ -27,7 +27,6 @@
 
 PERIOD = Duration(50)
 _ASKERS = 4
-_MS_PER_S = 1_000
 
 
 class SilenceMonitor:
@@ -54,29 +53,19 @@
         self._report_path = report_path
         self._asked_ms: dict[Backend, int] = {}
         self._pool = ThreadPoolExecutor(_ASKERS, thread_name_prefix="report")
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="silence", daemon=True)
+        self._loop = Loop("silence", self.look)
+        self.start = self._loop.start
+        self.stop = self._loop.stop
 
-    def start(self) -> None:
-        """Start looking."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop looking."""
-        self._stopped.set()
-
-    def _run(self) -> None:
-        while not self._stopped.wait(PERIOD / _MS_PER_S):
-            self.look()
-
-    def look(self) -> None:
-        """Ask the backend servers that have been silent for too long."""
+    def look(self) -> Duration:
+        """Ask the engines that have been silent for too long, and return when to look again."""
         now_ms = self._clock.elapsed_ms()
         self._asked_ms = {b: ms for b, ms in self._asked_ms.items() if now_ms - ms < ASK_AGAIN}
         for backend, since_ms in self._running.silent_since_ms():
             if now_ms - since_ms >= SILENCE and backend not in self._asked_ms:
                 self._asked_ms[backend] = now_ms
                 self._pool.submit(self._ask, backend, now_ms - since_ms)
+        return PERIOD
 
     def _ask(self, backend: Backend, silent_ms: int) -> None:
         if self._reports(backend):
--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -15,17 +15,20 @@
 from nutmegdrum.units import Address, Duration
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import BackendId, VmId
+from nutmegdrum_coord.ids import BackendId, IncarnationId, VmId
 from nutmegdrum_coord.parts import PartedState, decode_answer, encode_command
 from nutmegdrum_coord.statemachine import StateMachine
 from nutmegdrum_wire.gen.messages.ttypes import Sender
 
 from nutmegdrum_relay.decisions import log_decision
+from nutmegdrum_relay.dialect import Dialect
 from nutmegdrum_relay.document_cache import CacheWriter, DocumentCache
-from nutmegdrum_relay.documents import RoutingDocument
+from nutmegdrum_relay.list_reader import ListReader
+from nutmegdrum_relay.loop import Loop
 from nutmegdrum_relay.membership import wanted_vms
 from nutmegdrum_relay.revisions import PutAnswer, PutDocument, Revision, Revisions, VersionTaken
 from nutmegdrum_relay.settings import RelaySettings
+from nutmegdrum_relay.shared_listing import ListingShare
 from nutmegdrum_relay.views import ControlView, EntryReport, Work
 
 PROPOSE_TIMEOUT = Duration(900)
@@ -40,6 +43,10 @@
 REPORTS_PER_S = 100
 """Reports a second that a leader takes; docs/design/platform.md, cost of reports."""
 
+LIST_PERIOD = Duration(500)
+"""Time between two readings of the platform's list by the leader, a fraction of the bound on
+draining."""
+
 MEMBERS_PERIOD = Duration(300)
 """Time between two looks at the members; well below the time after which one is replaced."""
 
@@ -116,8 +123,10 @@
 
     Parameters
     ----------
-    decode : callable
-        Decodes and checks a routing document; raises `UserError` if it is invalid.
+    dialect : Dialect
+        Formats of the platform; documents are decoded and checked by it.
+    incarnation : IncarnationId
+        Identity of this start.
     """
 
     def __init__(
@@ -126,12 +135,13 @@
         clock: Clock,
         rng: random.Random,
         rpc: RpcClient,
-        decode: Callable[[bytes], RoutingDocument],
+        dialect: Dialect,
+        incarnation: IncarnationId,
     ):
         self._vm = replica_vm(cfg.listen.peers)
         self._clock = clock
         self._rpc = rpc
-        self._decode = decode
+        self._decode = dialect.decode_document
         self._size = len(cfg.state_seeds)
         self._revisions = Revisions()
         self._shared = SharedState(PartedState([self._revisions]), clock)
@@ -148,22 +158,35 @@
             _Machine(self._shared, self._notify),
             _LogTransport(rpc, cfg.control.election_timeout),
         )
+        self._listing = ListingShare(clock, f"{self._vm}/{incarnation}")
+        self._list_reader: ListReader | None = None
+        if cfg.backend_list is not None:
+            self._list_reader = ListReader(
+                cfg.backend_list,
+                clock,
+                rng,
+                dialect,
+                LIST_PERIOD,
+                self._log.is_leader,
+                self._listing.take,
+            )
         self._wanted: frozenset[VmId] = frozenset()
         self._led = False
-        self._stopped = threading.Event()
-        self._members_thread = threading.Thread(
-            target=self._watch_members, name="members", daemon=True
-        )
+        self._members_loop = Loop("members", self._look_at_members)
 
     def start(self) -> None:
         """Start the replica."""
         self._log.start()
         self._cache_writer.start()
-        self._members_thread.start()
+        self._members_loop.start()
+        if self._list_reader is not None:
+            self._list_reader.start()
 
     def stop(self) -> None:
         """Stop the replica."""
-        self._stopped.set()
+        self._members_loop.stop()
+        if self._list_reader is not None:
+            self._list_reader.stop()
         self._log.stop()
 
     def leader(self) -> VmId | None:
@@ -273,6 +296,7 @@
             replicas=tuple(Address(member.vm) for member in self._log.members().everyone()),
             work=self._others_work(decoded.vm),
             down=self._others_down(decoded.vm),
+            listing=self._listing.for_entry(decoded.listing) if fresh else None,
             wait_ms=report_wait_ms(len(self._others_reports(decoded.vm)) + 1),
         )
         return pack(view)
@@ -313,17 +337,13 @@
     def _others_down(self, vm: VmId) -> tuple[BackendId, ...]:
         return tuple({backend for report in self._others_reports(vm) for backend in report.down})
 
-    def _watch_members(self) -> None:
-        while not self._stopped.wait(MEMBERS_PERIOD / _MS_PER_S):
-            self._look_at_members()
-
-    def _look_at_members(self) -> None:
+    def _look_at_members(self) -> Duration:
         leads = self._log.is_leader()
         if leads != self._led:
             self._led = leads
             log_decision("leads" if leads else "leads_no_more", term=self._log.fencing_number())
         if not leads:
-            return
+            return MEMBERS_PERIOD
         members = self._log.members()
         wanted = wanted_vms(
             members.voters,
@@ -336,6 +356,7 @@
             log_decision("replicas_wanted", before=sorted(self._wanted), now=sorted(wanted))
             self._wanted = wanted
             self._log.set_vms(wanted)
+        return MEMBERS_PERIOD
 
 
 class StatePeers:
--- a/packages/relay/src/nutmegdrum_relay/views.py
+++ b/packages/relay/src/nutmegdrum_relay/views.py
@@ -4,6 +4,8 @@
 from nutmegdrum.units import Address
 from nutmegdrum_coord.ids import BackendId, VmId
 
+from nutmegdrum_relay.dialect import Listed
+
 
 class Work(msgspec.Struct, frozen=True, array_like=True):
     """Work of running requests on one backend server, in tokens.
@@ -42,6 +44,8 @@
         Work of this VM's running requests on each backend server.
     down : tuple of BackendId
         Backend servers that this VM found down.
+    listing : str
+        Name of the list of backend servers that this VM has from a leader; empty for none.
     """
 
     vm: VmId
@@ -49,6 +53,25 @@
     wait_ms: int
     work: dict[BackendId, Work] = {}
     down: tuple[BackendId, ...] = ()
+    listing: str = ""
+
+
+class SharedListing(msgspec.Struct, frozen=True, kw_only=True):
+    """List of backend servers as the leader read it.
+
+    Attributes
+    ----------
+    name : str
+        Changes with each change of the list, and with each leader.
+    age_ms : int
+        Time since the leader read it, in ms.
+    listed : tuple of Listed or None
+        None if the entry VM has the list of this name.
+    """
+
+    name: str
+    age_ms: int
+    listed: tuple[Listed, ...] | None
 
 
 class ControlView(msgspec.Struct, frozen=True, kw_only=True):
@@ -68,6 +91,8 @@
         Backend servers that other entry VMs found down.
     wait_ms : int
         Time that the entry VM may let the next report wait, in ms.
+    listing : SharedListing or None
+        None if the replica has none, as one that does not lead.
     """
 
     fresh: bool
@@ -77,3 +102,4 @@
     work: dict[BackendId, Work] = {}
     down: tuple[BackendId, ...] = ()
     wait_ms: int = 500
+    listing: SharedListing | None = None
--- /dev/null
+++ b/packages/relay/tests/test_loop.py
@@ -0,0 +1,31 @@
+import threading
+
+from nutmegdrum.units import Duration
+from nutmegdrum_relay.loop import Loop
+from nutmegdrum_testing.waiting import wait_for
+
+
+class TestLoop:
+    def test_a_step_that_fails_does_not_end_the_thread(self):
+        # A view that could not be decoded ended the thread that followed documents for good.
+        steps = []
+
+        def step():
+            steps.append(1)
+            if len(steps) == 1:
+                raise ValueError("once")
+            return Duration(1)
+
+        loop = Loop("test", step)
+        loop.start()
+        wait_for(lambda: len(steps) > 2)
+        loop.stop()
+
+    def test_stops_between_steps(self):
+        stepped = threading.Event()
+        loop = Loop("test", lambda: stepped.set() or Duration(3_600_000))
+        loop.start()
+        assert stepped.wait(5)
+        loop.stop()
+        loop._thread.join(5)
+        assert not loop._thread.is_alive()
--- a/packages/relay/tests/test_state_role.py
+++ b/packages/relay/tests/test_state_role.py
@@ -11,10 +11,10 @@
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import SystemClock
 from nutmegdrum_relay.document_cache import FILE
-from nutmegdrum_relay.documents import DocumentCodec
 from nutmegdrum_relay.settings import Listen, Place, RelayRole, RelaySettings
 from nutmegdrum_relay.state_role import StatePeers, StateRole, replica_vm
 from nutmegdrum_relay.views import ControlView, EntryReport
+from nutmegdrum_testing.relay_dialect import PlainDialect
 from nutmegdrum_testing.waiting import wait_for
 from nutmegdrum_wire.gen.messages.ttypes import Sender
 
@@ -53,7 +53,7 @@
         vm = replica_vm(self.address)
         rpc = RpcClient(Sender(DEPLOYMENT, vm, "incarnation"))
         rng = random.Random(vm)
-        self.state = StateRole(cfg, SystemClock(), rng, rpc, DocumentCodec().decode)
+        self.state = StateRole(cfg, SystemClock(), rng, rpc, PlainDialect(), "1")
         guard = Guard(StatePeers(self.state), DEPLOYMENT, self.state.leader)
         self.server = peers_server(self.address, guard)
         wait_for(self._bind)
--- a/packages/testing/src/nutmegdrum_testing/relay_dialect.py
+++ b/packages/testing/src/nutmegdrum_testing/relay_dialect.py
@@ -21,11 +21,14 @@
 )
 
 
-class PlainDialect(DocumentCodec):
+class PlainDialect:
     """Headers that begin with `X-`, and lists in JSON."""
 
     report_path = "/x-report"
 
+    def __init__(self) -> None:
+        self.decode_document = DocumentCodec().decode
+
     def is_callers(self, name: str) -> bool:
         """Return whether a caller's header is passed on."""
         return name.lower() not in _OWN and name.lower() not in CONNECTION_HEADERS
@@ -87,5 +90,5 @@
         version=VersionName("v1"),
         slots=8,
         leaving=entry.get("leaving") == "yes",
-        warm_up_left=Duration(0),
+        warming_up=False,
     )
--- a/packages/testing/src/nutmegdrum_testing/relay_world.py
+++ b/packages/testing/src/nutmegdrum_testing/relay_world.py
@@ -45,7 +45,7 @@
         version=VersionName("v1"),
         slots=8,
         leaving=leaving,
-        warm_up_left=Duration(0),
+        warming_up=False,
     )
 
 
