--- a/packages/coord/src/nutmegdrum_coord/logcore.py
+++ b/packages/coord/src/nutmegdrum_coord/logcore.py
@@ -305,6 +305,9 @@
         self._leadership.flush(now_ms)
 
     def _on_vote_request(self, now_ms: int, req: VoteRequest) -> None:
+        if self._leadership is not None:
+            # One that was replaced while it was down doesn't know that it is no member any more.
+            self._leadership.admit(req.sender)
         granted = self._may_grant(now_ms, req)
         if granted and not req.pre:
             if req.term > self.state.term:
--- a/packages/relay/src/nutmegdrum_relay/membership.py
+++ b/packages/relay/src/nutmegdrum_relay/membership.py
@@ -19,8 +19,8 @@
 ) -> frozenset[VmId]:
     """Return the VMs that are to keep the log.
 
-    A silent voter leaves only once as many others as the deployment started with vote, so a
-    replica that is merely down is never dropped without a successor.
+    A silent voter leaves only once as many others vote as the tolerated losses need, so a replica
+    that is merely down is not dropped without a successor.
 
     Parameters
     ----------
@@ -29,7 +29,7 @@
     silent_ms : mapping
         Time since the leader last heard each other member, in ms.
     size : int
-        Number of replicas that the deployment started with.
+        Number of replicas that the tolerated losses need.
     """
     alive = [v for v in voters if silent_ms.get(v, 0) < REPLACED_AFTER_MS]
     keep = {v.vm for v in voters}
--- a/packages/relay/src/nutmegdrum_relay/settings.py
+++ b/packages/relay/src/nutmegdrum_relay/settings.py
@@ -82,6 +82,9 @@
     ----------
     state_seeds : tuple of Address
         Operators' listeners of some state replicas; the rest is learned from them.
+    tolerated_losses : int
+        State replicas that may be lost at once; a silent replica is replaced only where one more
+        than twice as many others are left.
     backend_list : Address
         Where the platform publishes its list of backend servers.
     """
@@ -91,6 +94,7 @@
     place: Place
     listen: Listen
     state_seeds: tuple[Address, ...]
+    tolerated_losses: int = 1
     backend_list: Address | None = None
     data_folder: str | None = None
     entry: EntrySettings = EntrySettings()
--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -142,7 +142,7 @@
         self._clock = clock
         self._rpc = rpc
         self._decode = dialect.decode_document
-        self._size = len(cfg.state_seeds)
+        self._size = 2 * cfg.tolerated_losses + 1
         self._revisions = Revisions()
         self._shared = SharedState(PartedState([self._revisions]), clock)
         cache = DocumentCache(Path(str(cfg.data_folder)))
--- a/packages/relay/tests/test_state_role.py
+++ b/packages/relay/tests/test_state_role.py
@@ -166,6 +166,23 @@
         assert wait_for(lambda: newest(new)) == b'{"version": 3}'
         new.stop()
 
+    def test_a_replaced_replica_is_admitted_again_when_it_comes_back(self, cluster, tmp_path):
+        wait_for(lambda: put(cluster[0], b'{"version": 3}'))
+        lost = next(replica for replica in cluster if not replica.leads())
+        lost.stop()
+        rest = [replica for replica in cluster if replica is not lost]
+        port = lost.address.port
+        new = Replica("127.0.0.4", port, SEEDS, tmp_path / "new", may_found=False)
+        voters = lambda: {m.vm for m in rest[0].state._log.members().voters}  # noqa: E731
+        lost_vm = replica_vm(lost.address)
+        wait_for(lambda: replica_vm(new.address) in voters(), timeout_s=30)
+        wait_for(lambda: lost_vm not in voters(), timeout_s=30)
+        host = lost.address.host
+        back = Replica(host, port, SEEDS, tmp_path / host, may_found=False)
+        wait_for(lambda: lost_vm in voters(), timeout_s=30)
+        back.stop()
+        new.stop()
+
     def test_a_lost_disk_founds_no_second_cluster(self, cluster, tmp_path):
         wait_for(lambda: put(cluster[0], b'{"version": 3}'))
         lost = next(replica for replica in cluster if not replica.leads())
