--- a/packages/relay/src/nutmegdrum_relay/placement.py
+++ b/packages/relay/src/nutmegdrum_relay/placement.py
@@ -26,9 +26,14 @@
 """Weight of a token held in memory against one to be read: a prompt delays each running generation
 while it is read, and waits itself behind all unread ones."""
 
-SPREAD = 1.0
-"""Prompts up to which costs differ at random: what other entry VMs sent in the last moments is not
-known yet, and without it all of them choose the same engine."""
+SPREAD = 0.3
+"""Prompts up to which costs differ at random, so that near-equal engines share what comes."""
+
+MIN_CANDIDATES = 3
+CANDIDATES_SHARE = 8
+"""An engine is chosen among a random one in eight of the fleet, three at least. What other entry
+VMs sent in the last moments is not known yet; if each compared all engines, all would choose the
+same one."""
 
 NO_ROOM_PENALTY = 8.0
 """Prompts that a full memory counts for: a generation there is preempted and read again."""
@@ -74,7 +79,7 @@
         return None
     if demand.tokens:
         return min(
-            usable,
+            _sample(usable, rng),
             key=lambda b: _generation_cost(b, demand, cache_tokens, near) + SPREAD * rng.random(),
         )
     return min(usable, key=lambda b: (_request_cost(b, near, now_ms), rng.random()))
@@ -104,7 +109,12 @@
     apart = [b for b in others if b.data_centre != primary.data_centre] or others
     if not apart:
         return None
-    return min(apart, key=lambda b: _work_cost(b, demand) + SPREAD * rng.random())
+    return min(_sample(apart, rng), key=lambda b: _work_cost(b, demand) + SPREAD * rng.random())
+
+
+def _sample(backends: list[Backend], rng: random.Random) -> list[Backend]:
+    count = max(MIN_CANDIDATES, len(backends) // CANDIDATES_SHARE)
+    return rng.sample(backends, min(count, len(backends)))
 
 
 def _work_cost(backend: Backend, demand: Demand) -> float:
--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -40,7 +40,7 @@
 MIN_REPORT_WAIT = Duration(100)
 """Shortest wait of a report; placement needs what others sent within a tenth of a prompt's time."""
 
-REPORTS_PER_S = 100
+REPORTS_PER_S = 300
 """Reports a second that a leader takes; docs/design/platform.md, cost of reports."""
 
 LIST_PERIOD = Duration(500)
