Give up connections to other VMs after 150 ms

The first replica that they asked was still dark, and a connection attempt lasted as long as the call may (1 s). 262 requests were refused meanwhile.

Change: connections to other VMs have a time of their own.

--- a/packages/kernel/src/nutmegdrum/rpc.py
+++ b/packages/kernel/src/nutmegdrum/rpc.py
@@ -156,12 +156,13 @@
 
 
 class _Connection:
-    def __init__(self, address: Address, service: Any, timeout_ms: int):
+    def __init__(self, address: Address, service: Any, timeout_ms: int, connect_timeout_ms: int):
         self.socket = TSocket(address.host, address.port)
-        self.socket.setTimeout(timeout_ms)
+        self.socket.setTimeout(connect_timeout_ms)
         transport = TBufferedTransportFactory().getTransport(self.socket)
         self.client = service.Client(TBinaryProtocolAcceleratedFactory().getProtocol(transport))
         transport.open()
+        self.socket.setTimeout(timeout_ms)
 
 
 class RpcClient:
@@ -173,11 +174,14 @@
         Identity that goes with each call.
     service : module
         Generated service module, `Peers` or `Operators`.
+    connect_timeout_ms : int or None
+        Longest wait for a connection; None for that of the call.
     """
 
-    def __init__(self, sender: Sender, service: Any = Peers):
+    def __init__(self, sender: Sender, service: Any = Peers, connect_timeout_ms: int | None = None):
         self._sender = sender
         self._service = service
+        self._connect_timeout_ms = connect_timeout_ms
         self._idle: dict[Address, deque[_Connection]] = defaultdict(deque)
 
     def call(self, address: Address, method: str, *args: Any, timeout_ms: int) -> Any:
@@ -216,7 +220,8 @@
                 return conn
             conn.socket.close()
         try:
-            return _Connection(address, self._service, timeout_ms)
+            connect_timeout_ms = min(timeout_ms, self._connect_timeout_ms or timeout_ms)
+            return _Connection(address, self._service, timeout_ms, connect_timeout_ms)
         except (TTransportException, OSError) as exc:
             metrics.PEER_CALLS.labels("connect", "lost").inc()
             raise PeerUnreachable(address, sent=False) from exc
--- a/packages/relay/src/nutmegdrum_relay/daemon.py
+++ b/packages/relay/src/nutmegdrum_relay/daemon.py
@@ -9,6 +9,7 @@
 import pykka
 from nutmegdrum.ops import OpsListener
 from nutmegdrum.rpc import Guard, RpcClient, RpcServer, peers_server
+from nutmegdrum.units import Duration
 from nutmegdrum_coord.clock import SystemClock
 from nutmegdrum_coord.ids import IncarnationId
 from nutmegdrum_wire.gen.messages.ttypes import Sender
@@ -21,6 +22,10 @@
 
 SEED_BITS = 64
 
+PEER_CONNECT_TIMEOUT = Duration(150)
+"""Wait for a connection to another VM, many round trips; a VM without power must not keep others
+from asking the next one."""
+
 
 class RelayDaemon:
     """One process.
@@ -39,7 +44,8 @@
         state_vm = replica_vm(cfg.listen.peers)
         vm = state_vm if cfg.role is RelayRole.STATE else cfg.place.name
         incarnation = IncarnationId(uuid.uuid4().hex)
-        rpc = RpcClient(Sender(cfg.deployment, vm, incarnation))
+        sender = Sender(cfg.deployment, vm, incarnation)
+        rpc = RpcClient(sender, connect_timeout_ms=int(PEER_CONNECT_TIMEOUT))
         self.entry: EntryRole | None = None
         self.state: StateRole | None = None
         self._peers: RpcServer | None = None
