Keep connections between VMs alive by the system's probes

Cause (reading): a thread of a state replica waits for each connection's next call; where the other VM lost power it waited for ever. Probes end it after 11 s.

--- a/packages/kernel/src/nutmegdrum/rpc.py
+++ b/packages/kernel/src/nutmegdrum/rpc.py
@@ -2,6 +2,7 @@
 
 import functools
 import logging
+import socket
 import threading
 from collections import defaultdict, deque
 from collections.abc import Callable
@@ -22,6 +23,10 @@
 
 _MAX_IDLE_CONNECTIONS = 4
 
+_KEEP_ALIVE = {socket.TCP_KEEPIDLE: 5, socket.TCP_KEEPINTVL: 2, socket.TCP_KEEPCNT: 3}
+"""Idle time and interval in s, and number of the probes that go unanswered before a connection
+ends; some seconds, which bounds the threads that wait for VMs without power."""
+
 logging.getLogger("thrift").setLevel(logging.CRITICAL)
 
 
@@ -135,9 +140,12 @@
 
     def _accept(self) -> TSocket | None:
         try:
-            return self.serverTransport.accept()
+            client = self.serverTransport.accept()
         except OSError:
             return None
+        if client is not None:
+            _keep_alive(client.handle)
+        return client
 
     def stop(self) -> None:
         """Close the listener."""
@@ -145,6 +153,13 @@
         self.serverTransport.close()
 
 
+def _keep_alive(sock: socket.socket) -> None:
+    """Let the system end connections of VMs that are gone, and so the threads that serve them."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in _KEEP_ALIVE.items():
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def peers_server(address: Address, guard: Guard) -> RpcServer:
     """Return a server of the `Peers` service."""
     return RpcServer(address, Peers.Processor(guard))
