Let threads for callers grow with use, and add a randomized fault soak

Now 16 at first, 8 more whenever fewer than 8 wait, 256 at most. The test plays 40 callers at once.

Soak: three state and three entry daemons as processes, backend servers and links that fail, kills, pauses and restarts in overlapping series, documents meanwhile; checks streams, bookings, refusals, documents.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 PACKAGES := coord wire kernel plugins relay testing
 
-.PHONY: install demo test bench lint format thrift lock reference
+.PHONY: install demo test soak bench lint format thrift lock reference
 
 install: .venv/installed
 
@@ -18,6 +18,9 @@
 test: install
 	$(PY) -m pytest
 
+soak: install
+	$(PY) -m nutmegdrum_testing.soak --seeds $(or $(SEEDS),1-4)
+
 bench: install
 	$(PY) -m nutmegdrum_testing.bench --json run/bench.json
 
--- a/packages/relay/src/nutmegdrum_relay/callers.py
+++ b/packages/relay/src/nutmegdrum_relay/callers.py
@@ -15,12 +15,22 @@
 
 from nutmegdrum_relay.dialect import Headers
 from nutmegdrum_relay.documents import CallerLimits
+from nutmegdrum_relay.loop import Loop
 
 IDLE_GRACE = Duration(2_000)
 """Time that a connection stays open beyond the callers' idle limit, so that a request sent just
 before the limit is not cut."""
 
 LISTEN_BACKLOG = 512
+
+MIN_THREADS = 16
+SPARE_THREADS = 8
+"""Threads that wait for callers; more are made when fewer do. An entry VM of the users' sites runs
+some ten requests at once, and a burst doubles that."""
+
+POOL_PERIOD = Duration(100)
+"""Time between two looks at the waiting threads."""
+
 _MS_PER_S = 1_000
 _ONE_VALUE_ONLY = frozenset({b"Content-Length", b"Host", b"Transfer-Encoding"})
 
@@ -178,7 +188,7 @@
     serve : callable
         Answers one call on a thread of its own; `CallerGone` may leave it.
     threads : int
-        Requests that run at once.
+        Most requests that run at once.
     """
 
     def __init__(self, address: Address, clock: Clock, threads: int, serve: Callable[[Call], None]):
@@ -190,7 +200,13 @@
                 except CallerGone:
                     call.break_off()
 
-        self._server = HTTPServer((address.host, address.port), _Gateway, minthreads=threads)
+        self._server = HTTPServer(
+            (address.host, address.port),
+            _Gateway,
+            minthreads=min(MIN_THREADS, threads),
+            maxthreads=threads,
+        )
+        self._pool_loop = Loop("callers-pool", self._grow_pool)
         self._server.ConnectionClass = _Connection
         self._server.server_name = "nutmegdrum"
         self._server.request_queue_size = LISTEN_BACKLOG
@@ -215,9 +231,17 @@
         """
         self._server.prepare()
         self._thread.start()
+        self._pool_loop.start()
+
+    def _grow_pool(self) -> Duration:
+        pool = self._server.requests
+        if pool.idle < SPARE_THREADS:
+            pool.grow(SPARE_THREADS)
+        return POOL_PERIOD
 
     def stop(self, wait: Duration) -> None:
         """Close the listener and idle connections, and wait for calls that run."""
+        self._pool_loop.stop()
         self._server.shutdown_timeout = wait / _MS_PER_S
         self._server.stop()
 
--- a/packages/relay/src/nutmegdrum_relay/daemon.py
+++ b/packages/relay/src/nutmegdrum_relay/daemon.py
@@ -1,8 +1,10 @@
 """One relay daemon: its role, its listeners and its signals."""
 
 import gc
+import os
 import random
 import signal
+import sys
 import threading
 import uuid
 
@@ -99,3 +101,12 @@
             self.state.stop()
             pykka.ActorRegistry.stop_all(timeout=1)
         log_decision("stopped")
+
+    def run_and_exit(self) -> None:
+        """Serve until a signal asks to stop, then end the process.
+
+        Threads of the HTTP server may still wait for callers that never close their connections.
+        """
+        self.run()
+        sys.stdout.flush()
+        os._exit(0)
--- a/packages/relay/src/nutmegdrum_relay/settings.py
+++ b/packages/relay/src/nutmegdrum_relay/settings.py
@@ -68,7 +68,7 @@
         Time after the signal at which the process is killed.
     """
 
-    max_requests: int = 128
+    max_requests: int = 256
     list_poll: Duration = Duration(1_000)
     document_wait: Duration = Duration(500)
     shutdown_notice: Duration = Duration(2_500)
--- a/packages/relay/tests/test_relay.py
+++ b/packages/relay/tests/test_relay.py
@@ -2,6 +2,7 @@
 import json
 import socket
 import threading
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from nutmegdrum_relay.documents import RouteKind
@@ -314,6 +315,23 @@
         assert [r.target for r in backend.received].count("/stream/x") == 1
 
 
+class TestThreads:
+    def test_more_requests_than_threads_at_first_all_run_at_once(self):
+        # A hunt on ksh-fleet-grown ended for lack of threads: 128 waited on each entry VM.
+        world = RelayWorld(document(), threads=64)
+        together = threading.Barrier(40, timeout=10)
+
+        def waits_for_all(received):
+            together.wait()
+            received.answer(200, X_Id=received.headers["x-id"])
+
+        world.add(waits_for_all)
+        with ThreadPoolExecutor(40) as callers:
+            calls = [callers.submit(get, world, "/non-idempotent/x", "POST") for _ in range(40)]
+            assert [call.result()[0] for call in calls] == [200] * 40
+        world.stop()
+
+
 class TestCallerGone:
     def test_work_is_cancelled_when_the_caller_leaves(self, world):
         cancelled = threading.Event()
--- a/packages/testing/src/nutmegdrum_testing/relay_world.py
+++ b/packages/testing/src/nutmegdrum_testing/relay_world.py
@@ -83,7 +83,7 @@
 class RelayWorld:
     """Relay with its listener; `address` is where callers connect."""
 
-    def __init__(self, doc: RoutingDocument, *, monitor: bool = False):
+    def __init__(self, doc: RoutingDocument, *, monitor: bool = False, threads: int = 8):
         self.clock = SystemClock()
         rng = random.Random(7)
         dialect = PlainDialect()
@@ -102,7 +102,7 @@
             sock.bind(("127.0.0.1", 0))
             port = sock.getsockname()[1]
         self.address = Address(f"127.0.0.1:{port}")
-        self.listener = CallerListener(self.address, self.clock, 8, relay.serve)
+        self.listener = CallerListener(self.address, self.clock, threads, relay.serve)
         self.listener.start()
         self.monitor = SilenceMonitor(
             self.clock, self.backends, running, upstream, dialect.report_path
--- a/packages/testing/src/nutmegdrum_testing/scripted_backend.py
+++ b/packages/testing/src/nutmegdrum_testing/scripted_backend.py
@@ -122,6 +122,7 @@
 
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
+    request_queue_size = 128
     received: list[Received]
     script: Script
 
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/soak/__main__.py
@@ -0,0 +1,59 @@
+"""Run the soak: `python -m nutmegdrum_testing.soak --seeds 1-50`."""
+
+import argparse
+import random
+import secrets
+import sys
+
+from nutmegdrum_testing.processes import Processes
+from nutmegdrum_testing.soak.faults import Faults
+from nutmegdrum_testing.soak.world import SoakWorld
+
+FAULTS_S = 8.0
+FRESH_SEED_BITS = 31
+
+
+def play(seed: int, seconds: float = FAULTS_S) -> list[str]:
+    """Play one seed and return the problems that were seen; then the logs stay."""
+    with Processes() as processes:
+        world = SoakWorld(seed, processes)
+        problems = world.callers.problems
+        faults = Faults(world, random.Random(seed + 2))
+        try:
+            world.start()
+            faults.run(seconds)
+            world.settle()
+            world.callers.stop()
+            world.callers.check_runs()
+        except Exception as exc:
+            problems.append(f"the soak broke off: {exc!r}")
+        outcomes = dict(sorted(world.callers.outcomes.items()))
+        print(f"seed {seed}: {len(problems)} problems; {len(faults.done)} faults; {outcomes}")
+        if problems:
+            print(f"  faults: {faults.done}\n  logs: {world.folder}")
+        for problem in problems[:10]:
+            print(f"  {problem}")
+        world.close(keep=bool(problems))
+    return problems
+
+
+def _seeds(text: str) -> list[int]:
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def main() -> None:
+    """Play the seeds and end with 1 if any had a problem."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=_seeds, default=[], help="one seed, or FIRST-LAST")
+    parser.add_argument("--fresh", type=int, default=0, help="number of seeds drawn just now")
+    parser.add_argument("--seconds", type=float, default=FAULTS_S, help="time of faults a seed")
+    args = parser.parse_args()
+    seeds = args.seeds + [secrets.randbits(FRESH_SEED_BITS) for _ in range(args.fresh)]
+    failed = [seed for seed in seeds if play(seed, args.seconds)]
+    print(f"{len(seeds)} seeds, failed: {failed or 'none'}")
+    sys.exit(bool(failed))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/soak/callers.py
@@ -0,0 +1,119 @@
+"""Callers of the soak: each checks what it gets."""
+
+import http.client
+import itertools
+import random
+import threading
+import time
+from collections import Counter
+from enum import Enum
+
+from nutmegdrum.units import Address
+
+from nutmegdrum_testing.relay_world import HOST, KEY
+from nutmegdrum_testing.soak.engines import EVENTS, Engines, token
+
+DEADLINE_MS = 1_500
+ANSWER_SLACK_S = 1.0
+"""Time beyond the deadline for a final answer; the users' page allows half a second at VMs that
+are in touch, and the soak's callers share a busy machine."""
+
+
+class Kind(Enum):
+    """Routes of the soak."""
+
+    LOOKUP = "idempotent"
+    BOOKING = "non-idempotent"
+    STREAM = "stream"
+
+
+class Callers:
+    """Threads that send requests one after the other until they are stopped.
+
+    Parameters
+    ----------
+    entries : list of Address
+        Entry VMs, each behind a link.
+    """
+
+    def __init__(self, entries: list[Address], engines: Engines, seed: int, count: int):
+        self._entries = entries
+        self._engines = engines
+        self._ids = itertools.count(1)
+        self._seed = seed
+        self._stopped = threading.Event()
+        self.problems: list[str] = []
+        self.outcomes: Counter[str] = Counter()
+        self.refused: list[str] = []
+        self.undisturbed = False
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,), daemon=True)
+            for number in range(count)
+        ]
+
+    def start(self) -> None:
+        """Start sending."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop after the requests that run."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join(30)
+
+    def check_runs(self) -> None:
+        """Check bookings against what ran at the backend servers."""
+        for request_id, runs in self._engines.ran.items():
+            if request_id.startswith(Kind.BOOKING.value) and runs > 1:
+                self.problems.append(f"{request_id} ran {runs} times")
+        for request_id in self.refused:
+            if self._engines.ran[request_id]:
+                self.problems.append(f"{request_id} was refused as not run, and ran")
+
+    def _run(self, number: int) -> None:
+        rng = random.Random(self._seed * 1_000 + number)
+        while not self._stopped.is_set():
+            kind = rng.choice(list(Kind))
+            request_id = f"{kind.value}-{next(self._ids)}"
+            started = time.monotonic()
+            outcome = self._call(kind, request_id, rng.choice(self._entries))
+            took = time.monotonic() - started
+            self.outcomes[f"{kind.value} {outcome}"] += 1
+            if took > DEADLINE_MS / 1_000 + ANSWER_SLACK_S and self.undisturbed:
+                self.problems.append(f"{request_id} took {took:.1f} s: {outcome}")
+
+    def _call(self, kind: Kind, request_id: str, entry: Address) -> str:
+        conn = http.client.HTTPConnection(entry.host, entry.port, timeout=10)
+        headers = {
+            "Host": HOST,
+            "X-Id": request_id,
+            "X-Key": KEY,
+            "X-Deadline": str(DEADLINE_MS),
+            "X-Prompt": "400",
+            "X-Output": "100",
+        }
+        try:
+            conn.request("POST", f"/{kind.value}/x", b"body", headers)
+            resp = conn.getresponse()
+            body = resp.read()
+        except (OSError, http.client.HTTPException) as exc:
+            return type(exc).__name__
+        finally:
+            conn.close()
+        self._check(kind, request_id, resp.status, body)
+        return str(resp.status)
+
+    def _check(self, kind: Kind, request_id: str, status: int, body: bytes) -> None:
+        if status == 503 and kind is not Kind.STREAM:
+            self.refused.append(request_id)
+        if status != 200:
+            return
+        if kind is Kind.STREAM:
+            expected = "".join(
+                f"id: {n}\ndata: {token(request_id, n)}\n\n" for n in range(1, EVENTS + 1)
+            )
+            if body.decode() != expected:
+                self.problems.append(f"{request_id} got a stream with a gap, repeat or end missing")
+        elif body.decode() != request_id:
+            self.problems.append(f"{request_id} got the answer {body[:60]!r}")
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/soak/documents.py
@@ -0,0 +1,109 @@
+"""Operator of the soak: puts documents, and checks what is in force."""
+
+import http.client
+import time
+from typing import Any
+
+import msgspec
+from nutmegdrum.rpc import PeerUnreachable, RpcClient
+from nutmegdrum.units import Address
+from nutmegdrum_coord import verdict as v
+from nutmegdrum_coord.parts import decode_answer, encode_command
+from nutmegdrum_relay.documents import RouteKind
+from nutmegdrum_relay.revisions import PutAnswer, PutDocument
+from nutmegdrum_wire.gen.messages.ttypes import Sender
+
+from nutmegdrum_testing.relay_world import HOST, KEY, SERVICE
+
+DEPLOYMENT = "soak"
+CALL_TIMEOUT_MS = 1_500
+IN_FORCE_S = 2.0
+"""Time in which an acknowledged document is in force on all entry VMs (the users' bound)."""
+
+
+def _source(version: int) -> bytes:
+    """Return a document with the callers' routes, and one that names its version."""
+    routes = [_route(kind.value, kind) for kind in RouteKind]
+    routes.append(_route(f"v{version}", RouteKind.IDEMPOTENT))
+    engine = {"slots": 8, "cache_tokens": 50_000, "copies_runs": True}
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": SERVICE, "engine": engine}],
+            "workspaces": [{"id": "team", "keys": [KEY]}],
+        }
+    )
+
+
+def _route(name: str, kind: RouteKind) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": kind.value,
+        "targets": [{"service": SERVICE}],
+        "timeout": "5s",
+        "latency_objective": "200ms",
+        "max_attempts": 3,
+        "resumable": kind is RouteKind.STREAM,
+    }
+
+
+class Operator:
+    """Puts one version after the other at any replica."""
+
+    def __init__(self, replicas: list[Address]):
+        self._replicas = replicas
+        self._rpc = RpcClient(Sender(DEPLOYMENT, "operator", "1"))
+        self._version = 0
+        self.acknowledged = 0
+        self.acknowledged_at = time.monotonic()
+
+    def put_next(self) -> bool:
+        """Put a new version, and return whether a leader acknowledged it."""
+        self._version += 1
+        command = PutDocument(version=self._version, source=_source(self._version))
+        answer = self._ask("propose", encode_command(command, who="operator"))
+        if answer is None:
+            return False
+        decode_answer(answer, PutAnswer)
+        self.acknowledged = self._version
+        self.acknowledged_at = time.monotonic()
+        return True
+
+    def newest(self) -> int | None:
+        """Return the version that a leader with a lease tells; None if there is none."""
+        answer = self._ask("read", b"", True)
+        return None if answer is None else msgspec.json.decode(answer)["version"]
+
+    def version_at(self, entry: Address) -> int | None:
+        """Return the highest version in force at an entry VM, by its routes; None if unknown."""
+        for version in range(self._version, 0, -1):
+            status = _probe(entry, version)
+            if status is None:
+                return None
+            if status != 404:
+                return version
+        return 0
+
+    def _ask(self, method: str, *args: object) -> bytes | None:
+        for address in self._replicas:
+            try:
+                return self._rpc.call(address, method, *args, timeout_ms=CALL_TIMEOUT_MS)
+            except (PeerUnreachable, v.Refusal):
+                continue
+        return None
+
+
+def _probe(entry: Address, version: int) -> int | None:
+    conn = http.client.HTTPConnection(entry.host, entry.port, timeout=2)
+    try:
+        conn.request("GET", f"/v{version}/x", headers={"Host": HOST, "X-Id": "probe"})
+        status = conn.getresponse().status
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        conn.close()
+    # Without a key the route answers 401 where it exists, and 503 before any document.
+    return None if status == 503 else status
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/soak/engines.py
@@ -0,0 +1,131 @@
+"""Backend servers of the soak, and what ran on them."""
+
+import random
+import threading
+import time
+from collections import Counter
+
+import msgspec
+from nutmegdrum.units import Address
+from nutmegdrum_relay.dialect import Listed
+
+from nutmegdrum_testing.link import Link, Network
+from nutmegdrum_testing.relay_world import SERVICE
+from nutmegdrum_testing.scripted_backend import Received, ScriptedBackend
+
+EVENTS = 12
+EVENT_PERIOD_S = 0.03
+FAULT_SHARES = {"reset": 0.03, "failure": 0.04, "full": 0.04, "break": 0.05, "noise": 0.02}
+"""Shares of the requests at which a backend server misbehaves while faults are on."""
+
+
+def token(request_id: str, number: int) -> str:
+    """Return the data of a stream's event, which no other stream has."""
+    return f"{request_id}-{number}"
+
+
+class Engines:
+    """All backend servers, the platform's list of them, and a record of runs; thread-safe."""
+
+    def __init__(self, network: Network, rng: random.Random, count: int):
+        self._network = network
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._number = 0
+        self._serving: list[tuple[Listed, ScriptedBackend, Link]] = []
+        self.ran: Counter[str] = Counter()
+        self.faulty = True
+        self.list_server = ScriptedBackend(self._list)
+        for _ in range(count):
+            self.start()
+
+    def start(self) -> None:
+        """Start a backend server under a new id."""
+        backend = ScriptedBackend(self._serve)
+        link = self._network.link(backend.address)
+        with self._lock:
+            self._number += 1
+            entry = Listed(
+                id=f"b{self._number}",
+                service=SERVICE,
+                address=Address(link.address),
+                data_centre=f"dc{self._number % 2}",
+                version="v1",
+                slots=8,
+                leaving=False,
+                warming_up=False,
+            )
+            self._serving.append((entry, backend, link))
+
+    def crash(self) -> None:
+        """End a backend server while it works, and start another one."""
+        with self._lock:
+            _, backend, link = self._serving.pop(self._rng.randrange(len(self._serving)))
+        link.reset()
+        backend.stop()
+        self.start()
+
+    def links(self) -> list[Link]:
+        """Return the ways to the backend servers."""
+        with self._lock:
+            return [link for _, _, link in self._serving]
+
+    def stop(self) -> None:
+        """End all."""
+        for _, backend, _ in self._serving:
+            backend.stop()
+        self.list_server.stop()
+
+    def _list(self, received: Received) -> None:
+        with self._lock:
+            servers = [
+                {"id": e.id, "service": e.service, "address": str(e.address), "dc": e.data_centre}
+                for e, _, _ in self._serving
+            ]
+        received.answer(200, msgspec.json.encode({"servers": servers, "next": ""}))
+
+    def _fault(self) -> str:
+        with self._lock:
+            if not self.faulty:
+                return ""
+            return self._rng.choices(
+                ["", *FAULT_SHARES], [1 - sum(FAULT_SHARES.values()), *FAULT_SHARES.values()]
+            )[0]
+
+    def _serve(self, received: Received) -> None:
+        request_id = received.headers.get("x-id", "")
+        fault = self._fault()
+        if received.target == "/x-report":
+            received.answer(200)
+        elif fault == "full":
+            received.answer(503, X_Not_Run="1")
+        elif fault == "noise":
+            received.send_raw(b"HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\n")
+        else:
+            with self._lock:
+                self.ran[request_id] += 1
+            self._run(received, request_id, fault)
+
+    def _run(self, received: Received, request_id: str, fault: str) -> None:
+        if fault == "reset":
+            received.reset()
+        elif fault == "failure":
+            received.answer(500, request_id.encode(), X_Id=request_id)
+        elif received.target.startswith("/stream/"):
+            self._stream(received, request_id, fault == "break")
+        else:
+            time.sleep(EVENT_PERIOD_S)
+            received.answer(200, request_id.encode(), X_Id=request_id)
+
+    def _stream(self, received: Received, request_id: str, breaks: bool) -> None:
+        first = int(received.headers.get("x-last", "0")) + 1
+        received.start_events(X_Id=request_id)
+        for number in range(first, EVENTS + 1):
+            data = b"id: %d\ndata: %s\n\n" % (number, token(request_id, number).encode())
+            if breaks and number > first + 2:
+                received.piece(data[:5])
+                received.reset()
+                return
+            received.piece(data)
+            time.sleep(EVENT_PERIOD_S)
+        received.end_events()
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/soak/faults.py
@@ -0,0 +1,82 @@
+"""Faults of the soak: drawn from a seed, in series that overlap."""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+
+from nutmegdrum_testing.soak.world import SoakWorld
+
+MIN_PAUSE_S, MAX_PAUSE_S = 0.2, 1.2
+
+
+class Faults:
+    """Draws and carries out faults; each one leaves the world such that the next may come."""
+
+    def __init__(self, world: SoakWorld, rng: random.Random):
+        self._world = world
+        self._rng = rng
+        self.done: list[str] = []
+        self._locks: dict[str, threading.Lock] = {}
+        self._kinds: dict[str, Callable[[], None]] = {
+            "kill entry": lambda: self._entry().kill(),
+            "restart entry": lambda: self._entry().restart(),
+            "pause entry": lambda: self._entry().pause(self._short()),
+            "kill replica": lambda: self._replica().kill(),
+            "restart replica": lambda: self._replica().restart(),
+            "pause replica": lambda: self._replica().pause(self._short()),
+            "kill all replicas": self._kill_all_replicas,
+            "crash engine": world.engines.crash,
+            "silence engine": lambda: self._silence(world.engines.links()),
+            "reset engine": lambda: rng.choice(world.engines.links()).reset(),
+            "silence callers": lambda: self._silence(world.entry_links),
+            "reset callers": lambda: rng.choice(world.entry_links).reset(),
+            "new document": lambda: world.operator.put_next(),
+            "documents in a row": self._documents,
+        }
+
+    def run(self, seconds: float) -> None:
+        """Carry out faults for a while; each on a thread, so that they overlap."""
+        until = time.monotonic() + seconds
+        threads = []
+        while time.monotonic() < until:
+            kind = self._rng.choice(list(self._kinds))
+            self.done.append(kind)
+            thread = threading.Thread(target=self._carry_out, args=(kind,), daemon=True)
+            thread.start()
+            threads.append(thread)
+            time.sleep(self._rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+        for thread in threads:
+            thread.join(30)
+
+    def _carry_out(self, kind: str) -> None:
+        with self._busy(kind):
+            self._kinds[kind]()
+
+    def _busy(self, kind: str) -> threading.Lock:
+        """Return a lock, so that a daemon's series of signals comes one after the other."""
+        group = kind.split()[-1].rstrip("s")
+        return self._locks.setdefault(group, threading.Lock())
+
+    def _entry(self):
+        return self._rng.choice(self._world.entries)
+
+    def _replica(self):
+        return self._rng.choice(self._world.replicas)
+
+    def _short(self) -> float:
+        return self._rng.uniform(0.1, 2.5)
+
+    def _kill_all_replicas(self) -> None:
+        for replica in self._world.replicas:
+            replica.kill()
+
+    def _silence(self, links) -> None:
+        link = self._rng.choice(links)
+        link.silence()
+        time.sleep(self._short())
+        link.heal()
+
+    def _documents(self) -> None:
+        for _ in range(5):
+            self._world.operator.put_next()
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/soak/world.py
@@ -0,0 +1,158 @@
+"""One seed of the soak: daemons, backend servers, callers, faults and checks."""
+
+import random
+import shutil
+import tempfile
+import time
+from pathlib import Path
+
+import msgspec
+from nutmegdrum.units import Address
+
+from nutmegdrum_testing.link import Network
+from nutmegdrum_testing.processes import Processes, RunningProcess, free_ports
+from nutmegdrum_testing.soak.callers import Callers
+from nutmegdrum_testing.soak.documents import DEPLOYMENT, IN_FORCE_S, Operator
+from nutmegdrum_testing.soak.engines import Engines
+from nutmegdrum_testing.waiting import wait_for
+
+REPLICAS = 3
+ENTRIES = 3
+ENGINES = 4
+CALLERS = 12
+RECOVERY_S = 12.0
+"""Time after the last fault in which all is served again (the users' bound)."""
+
+SLACK_S = 3.0
+"""Time beyond the bounds on configuration, for a machine that other work shares."""
+
+
+class Daemon:
+    """One daemon that is started again after each end."""
+
+    def __init__(self, processes: Processes, settings: Path, log: Path):
+        self._processes = processes
+        self._settings = settings
+        self._log = log
+        self.process = self._start()
+
+    def _start(self) -> RunningProcess:
+        module = "nutmegdrum_testing.soak.daemon"
+        return self._processes.start_module(module, str(self._settings), output=self._log)
+
+    def kill(self) -> None:
+        """End it at once, and start it again."""
+        self.process.kill()
+        self.process = self._start()
+
+    def restart(self) -> None:
+        """Ask it to shut down, and start it again."""
+        self.process.terminate()
+        self.process.wait(20)
+        self.process = self._start()
+
+    def pause(self, seconds: float) -> None:
+        """Stop it for a while; its sockets stay open."""
+        self.process.pause()
+        time.sleep(seconds)
+        self.process.resume()
+
+
+class SoakWorld:
+    """All of one seed, in a folder of its own."""
+
+    def __init__(self, seed: int, processes: Processes):
+        self.folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        self.rng = random.Random(seed)
+        self.network = Network()
+        self.engines = Engines(self.network, random.Random(seed + 1), ENGINES)
+        self._processes = processes
+        peers, operators, metrics, callers, ready = free_ports(5)
+        replicas = [f"127.0.0.{i + 1}" for i in range(REPLICAS)]
+        self._seeds = [f"{host}:{operators}" for host in replicas]
+        self.replicas = [
+            self._daemon(host, "state", peers, metrics, {"operators": f"{host}:{operators}"})
+            for host in replicas
+        ]
+        entries = [f"127.0.0.{i + 11}" for i in range(ENTRIES)]
+        self.entries = [
+            self._daemon(
+                host,
+                "entry",
+                peers,
+                metrics,
+                {"callers": f"{host}:{callers}", "readiness": f"{host}:{ready}"},
+            )
+            for host in entries
+        ]
+        self.entry_addresses = [Address(f"{host}:{callers}") for host in entries]
+        self.entry_links = [self.network.link(address) for address in self.entry_addresses]
+        self.operator = Operator([Address(f"{host}:{peers}") for host in replicas])
+        self.callers = Callers(
+            [Address(link.address) for link in self.entry_links], self.engines, seed, CALLERS
+        )
+
+    def _daemon(self, host: str, role: str, peers: int, metrics: int, listen: dict) -> Daemon:
+        settings = {
+            "deployment": DEPLOYMENT,
+            "role": role,
+            "place": {"name": host, "data_centre": "dc0", "region": "r"},
+            "listen": {"peers": f"{host}:{peers}", "metrics": f"{host}:{metrics}", **listen},
+            "state_seeds": self._seeds,
+            "backend_list": str(self.engines.list_server.address),
+            "entry": {"stop_within": "4s", "shutdown_notice": "500ms"},
+            "control": {"synced_data_survives": True, "election_timeout": "600ms"},
+        }
+        if role == "state":
+            settings["data_folder"] = str(self.folder / host)
+        path = self.folder / f"{host}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        return Daemon(self._processes, path, self.folder / f"{host}.log")
+
+    def start(self) -> None:
+        """Wait until a first document is in force everywhere, then let callers send."""
+        wait_for(self.operator.put_next, 30)
+        wait_for(lambda: self._in_force(self.operator.acknowledged), 30)
+        self.callers.start()
+
+    def _in_force(self, version: int) -> bool:
+        return all(
+            (found := self.operator.version_at(address)) is not None and found >= version
+            for address in self.entry_addresses
+        )
+
+    def settle(self) -> None:
+        """End the faults, and check that all is served and nothing acknowledged is lost."""
+        self.engines.faulty = False
+        for link in (*self.entry_links, *self.engines.links()):
+            link.heal()
+        acknowledged = self.operator.acknowledged
+        self._expect("a leader tells a document", lambda: self.operator.newest() is not None)
+        newest = self.operator.newest()
+        if newest is not None and newest < acknowledged:
+            self.callers.problems.append(f"version {newest} is read after {acknowledged}")
+        self._expect("the newest document is in force", lambda: self._in_force(acknowledged))
+        before = self.callers.outcomes["stream 200"]
+        self._expect("streams end", lambda: self.callers.outcomes["stream 200"] > before + 3)
+        self.callers.undisturbed = True
+        self._expect("a new document is taken", self.operator.put_next)
+        version = self.operator.acknowledged
+        until = time.monotonic() + IN_FORCE_S + SLACK_S
+        while time.monotonic() < until and not self._in_force(version):
+            time.sleep(0.05)
+        if not self._in_force(version):
+            self.callers.problems.append(f"version {version} is not in force in time")
+
+    def _expect(self, what: str, condition) -> None:
+        try:
+            wait_for(condition, RECOVERY_S + SLACK_S)
+        except TimeoutError:
+            self.callers.problems.append(f"not within {RECOVERY_S:.0f} s after the faults: {what}")
+
+    def close(self, keep: bool) -> None:
+        """End all; the logs stay if `keep`."""
+        self._processes.close()
+        self.engines.stop()
+        self.network.close()
+        if not keep:
+            shutil.rmtree(self.folder)
