--- /dev/null
+++ b/packages/testing/tests/test_soak.py
@@ -0,0 +1,13 @@
+import pytest
+from nutmegdrum_testing.soak.__main__ import play
+
+REGRESSIONS: dict[int, str] = {}
+"""Seeds that failed once, each with its cause."""
+
+SHORT_S = 4.0
+
+
+class TestSoak:
+    @pytest.mark.parametrize("seed", [1, *REGRESSIONS])
+    def test_promises_hold_under_faults(self, seed):
+        assert play(seed, SHORT_S) == []
