--- /dev/null
+++ b/packages/relay/tests/test_cli.py
@@ -0,0 +1,98 @@
+import cappa
+import pytest
+from nutmegdrum.errors import UserError
+from nutmegdrum.rpc import Guard, peers_server
+from nutmegdrum.units import Address
+from nutmegdrum_coord import verdict as v
+from nutmegdrum_coord.clock import LogMs
+from nutmegdrum_coord.ids import LogPosition
+from nutmegdrum_coord.parts import PartedState
+from nutmegdrum_relay.cli import Arguments
+from nutmegdrum_relay.revisions import Revisions
+from nutmegdrum_testing.processes import free_ports
+
+DOCUMENT = b'{"version": 4, "services": [{"name": "svc"}]}'
+
+
+class StandInReplica:
+    """State replica without peers: it applies what is proposed."""
+
+    def __init__(self, leads=True):
+        self.revisions = Revisions()
+        self._state = PartedState([self.revisions])
+        self._leads = leads
+        self.address = Address(f"127.0.0.1:{free_ports(1)[0]}")
+        self._server = peers_server(self.address, Guard(self, "nutmegdrum"))
+        self._server.bind()
+        self._server.start()
+
+    def propose(self, sender, command):
+        if not self._leads:
+            raise v.Refusal(v.NOT_LEADER)
+        return self._state.apply(LogPosition(1), LogMs(0), command)
+
+    def read(self, sender, query, fresh):
+        if not self._leads:
+            raise v.Refusal(v.NOT_LEADER)
+        return self.revisions.newest.source
+
+    def stop(self):
+        self._server.stop()
+
+
+@pytest.fixture
+def follower():
+    replica = StandInReplica(leads=False)
+    yield replica
+    replica.stop()
+
+
+@pytest.fixture
+def leader():
+    replica = StandInReplica()
+    yield replica
+    replica.stop()
+
+
+@pytest.fixture
+def file(tmp_path):
+    path = tmp_path / "routing.json"
+    path.write_bytes(DOCUMENT)
+    return path
+
+
+def run(*words):
+    cappa.invoke(Arguments, argv=[str(word) for word in words])
+
+
+class TestDocuments:
+    def test_put_and_show_by_way_of_the_leader(self, follower, leader, file, capsys):
+        replicas = ["--replica", follower.address, "--replica", leader.address]
+        run("put", *replicas, "--file", file)
+        assert capsys.readouterr().out == "version 4 is in force\n"
+        run("show", *replicas)
+        assert capsys.readouterr().out.encode() == DOCUMENT
+
+    def test_other_content_under_the_version_is_refused(self, leader, file):
+        run("put", "--replica", leader.address, "--file", file)
+        file.write_bytes(DOCUMENT + b" ")
+        with pytest.raises(UserError, match="holds version 4"):
+            run("put", "--replica", leader.address, "--file", file)
+
+    def test_an_invalid_document_goes_nowhere(self, leader, file):
+        file.write_bytes(b'{"version": "four"}')
+        with pytest.raises(UserError, match="version"):
+            run("put", "--replica", leader.address, "--file", file)
+        assert leader.revisions.newest.version == 0
+
+    def test_without_a_leader_each_replicas_answer_is_told(self, follower):
+        with pytest.raises(UserError, match=str(follower.address)):
+            run("show", "--replica", follower.address)
+
+
+class TestSettings:
+    def test_check_names_the_wrong_key(self, tmp_path):
+        path = tmp_path / "relay.json"
+        path.write_text('{"deployment": "d", "role": "pilot"}')
+        with pytest.raises(UserError, match=r"\$\.role"):
+            run("check", path)
--- a/packages/relay/tests/test_relay.py
+++ b/packages/relay/tests/test_relay.py
@@ -6,6 +6,7 @@
 
 import pytest
 from nutmegdrum_relay.documents import RouteKind
+from nutmegdrum_relay.stream_relay import EVENT_TIMEOUT
 from nutmegdrum_testing.relay_world import HOST, KEY, RelayWorld, document, route
 from nutmegdrum_testing.waiting import wait_for
 
@@ -293,7 +294,9 @@
         watched_world.add(dark)
         (other,) = watched_world.add(engine(4))
         for _ in range(3):
+            started_ms = watched_world.clock.elapsed_ms()
             assert numbers(get(watched_world, "/stream/x", "POST")[2]) == [1, 2, 3, 4]
+            assert watched_world.clock.elapsed_ms() - started_ms < EVENT_TIMEOUT
         hangs.set()
         assert other.received
 
