--- a/packages/testing/src/nutmegdrum_testing/link.py
+++ b/packages/testing/src/nutmegdrum_testing/link.py
@@ -25,7 +25,8 @@
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    # A connection that has just ended by itself has no socket left that could be reset.
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT_AT_ALL)
     writer.transport.abort()
 
