Call one status line, one empty work and one way to the leader; drop what nothing uses

The callers' listener had its own copy of wsgi.status_line, the empty work stood in three modules, and reads and proposals looked the leader up twice in the same words. Parameters and fields that nothing reads, and Upstream.close_expired, which nothing called, are gone.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -16,9 +16,7 @@
 from nutmegdrum_relay.retry_policy import Loss
 from nutmegdrum_relay.running import Running
 from nutmegdrum_relay.upstream import Answer, Broken, Exchange, NotSent, Upstream
-from nutmegdrum_relay.views import Work
-
-NO_WORK = Work()
+from nutmegdrum_relay.views import NO_WORK, Work
 
 
 class Lost(Exception):
@@ -78,7 +76,6 @@
     backend: Backend
     exchange: Exchange
     answer: Answer
-    terms: AnswerTerms
     copy: Backend | None = None
     work: Work = NO_WORK
 
@@ -240,7 +237,7 @@
         terms = self._dialect.answer_terms(answer.status, dict(answer.headers))
         self._backends.on_load(backend, terms.load)
         self._check(demanded, backend, exchange, answer, terms)
-        return Attempt(backend, exchange, answer, terms)
+        return Attempt(backend, exchange, answer)
 
     def _check(
         self,
@@ -273,7 +270,7 @@
         """Note that an engine broke a stream off; most that do have crashed."""
         self._backends.on_down(attempt.backend, "stream-broken")
 
-    def read_whole(self, demanded: Demanded, attempt: Attempt, timeout: Duration) -> bytes:
+    def read_whole(self, attempt: Attempt, timeout: Duration) -> bytes:
         """Return the answer's whole body.
 
         Raises
--- a/packages/relay/src/nutmegdrum_relay/backends.py
+++ b/packages/relay/src/nutmegdrum_relay/backends.py
@@ -10,7 +10,7 @@
 
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import Listed, Load
-from nutmegdrum_relay.views import SharedListing, Work
+from nutmegdrum_relay.views import NO_WORK, SharedListing, Work
 
 FIRST_PAUSE = Duration(300)
 """Pause after a backend server was found down; docs/design/platform.md, failing servers."""
@@ -29,7 +29,6 @@
 LOAD_VALID = Duration(400)
 """Age up to which a told load counts; docs/design/platform.md, placement."""
 
-
 TOLD_PAUSE = Duration(1_000)
 """Pause of a backend server that another entry VM found down; two of its reports."""
 
@@ -62,9 +61,9 @@
         self.id: BackendId = listed.id
         self.address: Address = listed.address
         self.data_centre: DataCentre = listed.data_centre
-        self.work = Work()
+        self.work = NO_WORK
         self.requests = 0
-        self.others_work = Work()
+        self.others_work = NO_WORK
         self.failure_rate = 0.0
         self.load: Load | None = None
         self.load_ms = 0
@@ -119,7 +118,7 @@
                 backend = known.get(listed.id)
                 if backend is None or backend.address != listed.address:
                     backend = Backend(listed)
-                    backend.others_work = self._others.get(listed.id, Work())
+                    backend.others_work = self._others.get(listed.id, NO_WORK)
                     log_decision("backend_listed", backend=listed.id, service=listed.service)
                 elif listed.leaving and not backend.listed.leaving:
                     log_decision("backend_leaving", backend=listed.id, service=listed.service)
@@ -175,7 +174,7 @@
         with self._lock:
             self._others = work
             for backend in self._backends.values():
-                backend.others_work = work.get(backend.id, Work())
+                backend.others_work = work.get(backend.id, NO_WORK)
 
     def own_work(self) -> dict[BackendId, Work]:
         """Return the work of this VM's requests on each backend server."""
--- a/packages/relay/src/nutmegdrum_relay/callers.py
+++ b/packages/relay/src/nutmegdrum_relay/callers.py
@@ -5,12 +5,12 @@
 import socket
 import threading
 from collections.abc import Callable
-from http import HTTPStatus
 
 from cheroot.server import Gateway as CherootGateway
 from cheroot.server import HeaderReader, HTTPRequest, HTTPServer
 from cheroot.server import HTTPConnection as CherootConnection
 from nutmegdrum.units import Address, Duration
+from nutmegdrum.wsgi import status_line
 from nutmegdrum_coord.clock import Clock
 
 from nutmegdrum_relay.dialect import Headers
@@ -129,7 +129,7 @@
         """Send the answer's head; without a length the body is sent in chunks."""
         self.started = True
         req = self._req
-        req.status = _status_line(status)
+        req.status = status_line(status).encode()
         req.outheaders = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
         if length is not None:
             req.outheaders.append((b"Content-Length", str(length).encode()))
@@ -165,13 +165,6 @@
             self.socket.shutdown(socket.SHUT_RDWR)
 
 
-def _status_line(status: int) -> bytes:
-    try:
-        return f"{status} {HTTPStatus(status).phrase}".encode()
-    except ValueError:
-        return f"{status} Status".encode()
-
-
 class _Request(HTTPRequest):
     header_reader = _StrictHeaderReader()
 
--- a/packages/relay/src/nutmegdrum_relay/document_follower.py
+++ b/packages/relay/src/nutmegdrum_relay/document_follower.py
@@ -4,7 +4,6 @@
 
 from nutmegdrum.errors import UserError
 from nutmegdrum.units import Duration
-from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import VmId
 
 from nutmegdrum_relay.backends import Backends
@@ -35,7 +34,6 @@
     def __init__(
         self,
         vm: VmId,
-        clock: Clock,
         client: ControlClient,
         backends: Backends,
         decode: Callable[[bytes], RoutingDocument],
@@ -43,7 +41,6 @@
         changed: Callable[[RoutingTable], None],
     ):
         self._vm = vm
-        self._clock = clock
         self._client = client
         self._backends = backends
         self._decode = decode
--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -67,7 +67,6 @@
         running = Running()
         self._follower = DocumentFollower(
             VmId(cfg.place.name),
-            clock,
             ControlClient(rpc, cfg.seed_peers()),
             self._backends,
             dialect.decode_document,
--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -29,7 +29,7 @@
 from nutmegdrum_relay.revisions import PutAnswer, PutDocument, Revision, Revisions, VersionTaken
 from nutmegdrum_relay.settings import RelaySettings
 from nutmegdrum_relay.shared_listing import ListingShare
-from nutmegdrum_relay.views import ControlView, EntryReport, Work
+from nutmegdrum_relay.views import NO_WORK, ControlView, EntryReport, Work
 
 PROPOSE_TIMEOUT = Duration(900)
 """Wait for a commit; operators move on to another replica after a second without an answer."""
@@ -50,7 +50,6 @@
 MEMBERS_PERIOD = Duration(300)
 """Time between two looks at the members; well below the time after which one is replaced."""
 
-NO_WORK = Work()
 _MS_PER_S = 1_000
 
 
@@ -210,7 +209,7 @@
         document = self._decode(source)
         command = PutDocument(version=document.version, source=source)
         encoded = encode_command(command, who=self._vm, wall_ms=self._clock.wall_ms())
-        answer = decode_answer(self._propose_at_leader(encoded), PutAnswer)
+        answer = decode_answer(self._at_leader(self.propose, "propose", encoded), PutAnswer)
         log_decision("document_offered", version=document.version, outcome=type(answer).__name__)
         if isinstance(answer, VersionTaken):
             raise UserError(f"Another document holds version {answer.version} - at `$.version`")
@@ -223,22 +222,15 @@
         Refusal
             If no leader answers, or there is no document yet.
         """
-        leader = self._log.leader()
-        if leader is None:
-            raise v.Refusal(v.NO_QUORUM, detail="the state replicas have no leader")
-        if leader == self._vm:
-            return self.read(b"", fresh=True)
-        return self._call(leader, "read", b"", True)
+        return self._at_leader(self.read, "read", b"", True)
 
-    def _propose_at_leader(self, command: bytes) -> bytes:
+    def _at_leader(self, here: Callable[..., bytes], method: str, *args: object) -> bytes:
+        """Call `here` if this replica leads, else `method` at the leader, with the same `args`."""
         leader = self._log.leader()
         if leader is None:
             raise v.Refusal(v.NO_QUORUM, detail="the state replicas have no leader")
         if leader == self._vm:
-            return self.propose(command)
-        return self._call(leader, "propose", command)
-
-    def _call(self, leader: VmId, method: str, *args: object) -> bytes:
+            return here(*args)
         try:
             return self._rpc.call(Address(leader), method, *args, timeout_ms=int(PROPOSE_TIMEOUT))
         except PeerUnreachable as exc:
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -168,7 +168,7 @@
             run.last_event_id = new[-1].id or run.last_event_id
 
     def _forward_failure(self, call: Call, demanded: Demanded, run: _Run, attempt: Attempt) -> int:
-        body = self._attempts.read_whole(demanded, attempt, EVENT_TIMEOUT)
+        body = self._attempts.read_whole(attempt, EVENT_TIMEOUT)
         may_go_on = run.sent + 1 < demanded.route.max_attempts and demanded.route.resumable
         if run.head_sent or (attempt.answer.status >= FAILED_STATUS and may_go_on):
             raise Lost(Loss.FAILED, f"status {attempt.answer.status}")
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -98,10 +98,9 @@
 class Exchange:
     """One request on one connection; `abort` may be called from any thread."""
 
-    def __init__(self, conn: HTTPConnection, address: Address):
+    def __init__(self, conn: HTTPConnection):
         self._conn = conn
         self._sock = conn.sock
-        self.address = address
         self._resp: HTTPResponse | None = None
         self.aborted = False
 
@@ -247,7 +246,7 @@
         kept = self._take(backend, fresh)
         if kept is not None:
             REUSED.inc()
-            return Exchange(kept, address)
+            return Exchange(kept)
         return self.connect(address, timeout)
 
     def connect(self, address: Address, timeout: Duration = CONNECT_TIMEOUT) -> Exchange:
@@ -273,7 +272,7 @@
             CONNECTS.labels("failed").inc()
             raise NotSent(str(exc)) from exc
         CONNECTS.labels("opened").inc()
-        return Exchange(conn, address)
+        return Exchange(conn)
 
     def keep(self, backend: BackendId, exchange: Exchange) -> None:
         """Keep the connection of an exchange that ended well, or close it."""
@@ -306,17 +305,6 @@
                 continue
             return item.conn
 
-    def close_expired(self) -> None:
-        """Close the connections whose idle time is over."""
-        now_ms = self._clock.elapsed_ms()
-        expired: list[_Idle] = []
-        with self._lock:
-            for idle in self._idle.values():
-                while idle and now_ms >= idle[0].until_ms:
-                    expired.append(idle.popleft())
-        for item in expired:
-            item.conn.close()
-
 
 def _is_readable(sock: socket.socket | None) -> bool:
     """Return whether the peer closed an idle connection, or sent what nobody asked for."""
--- a/packages/relay/src/nutmegdrum_relay/views.py
+++ b/packages/relay/src/nutmegdrum_relay/views.py
@@ -31,6 +31,9 @@
         return bool(self.unread or self.resident)
 
 
+NO_WORK = Work()
+
+
 class EntryReport(msgspec.Struct, frozen=True, kw_only=True):
     """What an entry VM tells a state replica, and up to what it knows.
 
