Say not-run without a quorum only if the VMs that could have sent it agree

Cause: a replica that was in touch with the leader up to 1 s before the asker vouched for what it could not have: a claim committed by the other two in that second. The suspected cause, late messages that count as contact, was real as well but not the one seen.

Now a follower dates what it has by an echo of its own time, a replica gives the age of what it knows, and the entry VMs are asked whether they sent the key since: all of them must answer, and must have run at least that long. Ruled out: a majority of replicas (a lone survivor must go on to say not-run for a first booking, as its test demands); a larger margin (no margin covers a cut that lasts).

Tests: TestWithoutQuorum, TestSentKeys, TestCaughtUp, the caught-up check in the log's simulation (each fails with the echo replaced by the time of arrival, or without the term check), and TestLaggingReplica with the messages lost.

--- a/packages/coord/src/nutmegdrum_coord/election.py
+++ b/packages/coord/src/nutmegdrum_coord/election.py
@@ -35,11 +35,9 @@
         self._rng = rng
         self._votes: set[Member] = set()
         self.hear_leader(now_ms)
-        self.heard_ms: int | None = None
 
     def hear_leader(self, now_ms: int) -> None:
         """Note a message of the current leader."""
-        self.heard_ms = now_ms
         self._promised_until_ms = now_ms + self._timeout_ms
         self.reset(now_ms)
 
--- a/packages/coord/src/nutmegdrum_coord/following.py
+++ b/packages/coord/src/nutmegdrum_coord/following.py
@@ -9,6 +9,7 @@
     Base,
     Entry,
     LastEntry,
+    Mark,
     SnapshotReply,
     SnapshotRequest,
 )
@@ -29,11 +30,11 @@
         self._arriving: tuple[Base, int] | None = None
         self._arrived_bytes = 0
 
-    def append(self, req: AppendRequest) -> None:
+    def append(self, req: AppendRequest, mark: Mark) -> None:
         """Take entries of the current leader and answer once they are saved."""
         agreed = self._agreed(req.previous)
         if not agreed:
-            self._reply(req, False, self._retry_after(req.previous))
+            self._reply(req, False, self._retry_after(req.previous), mark)
             return
         upto = LogPosition(req.previous.position + len(req.entries))
         new = self._missing(req.entries)
@@ -41,7 +42,7 @@
             self._state.save_entries(new)
         upto = max(upto, self._state.entries.base.position)
         self._state.commit_upto(min(req.commit, upto))
-        self._reply(req, True, upto)
+        self._reply(req, True, upto, mark)
 
     def _agreed(self, previous: LastEntry) -> bool:
         entries = self._state.entries
@@ -68,13 +69,14 @@
                 return entries[index:]
         return []
 
-    def _reply(self, req: AppendRequest, accepted: bool, position: LogPosition) -> None:
+    def _reply(self, req: AppendRequest, accepted: bool, position: LogPosition, mark: Mark) -> None:
         self._state.send(
             req.sender,
             AppendReply,
             accepted=accepted,
             position=position,
             sent_ms=req.sent_ms,
+            mark=mark,
         )
 
     def take_chunk(self, req: SnapshotRequest) -> None:
--- a/packages/coord/src/nutmegdrum_coord/logcore.py
+++ b/packages/coord/src/nutmegdrum_coord/logcore.py
@@ -33,6 +33,7 @@
     Hello,
     HelloReply,
     LastEntry,
+    Mark,
     Member,
     Members,
     Message,
@@ -88,6 +89,7 @@
         self._following = Following(self.state)
         self._leadership: Leadership | None = None
         self._next_hello_ms = now_ms
+        self._caught_up_ms: int | None = None
         self._handlers: dict[type, Callable[[int, Any], None]] = {
             VoteRequest: self._on_vote_request,
             VoteReply: self._on_vote_reply,
@@ -137,9 +139,12 @@
         return self._leadership is not None and self._leadership.serves(now_ms)
 
     @property
-    def heard_leader_ms(self) -> int | None:
-        """Return when a leader was last heard since the start, in ms."""
-        return self._election.heard_ms
+    def caught_up_ms(self) -> int | None:
+        """Return the elapsed time in ms up to which this follower has all that was committed.
+
+        What was committed later may be missing here. None if that was never so since the start.
+        """
+        return self._caught_up_ms
 
     def serves_until_ms(self, now_ms: int) -> int:
         """Return the elapsed time in ms until which this replica may serve; 0 if it may not."""
@@ -356,7 +361,17 @@
 
     def _on_append_request(self, now_ms: int, req: AppendRequest) -> None:
         if self._hear_leader(now_ms, req):
-            self._following.append(req)
+            self._following.append(req, Mark(self._joining.nonce, now_ms))
+            self._note_caught_up(req)
+
+    def _note_caught_up(self, req: AppendRequest) -> None:
+        """Date what this replica has by the echo, as the request may have been held up."""
+        if req.echo is None or req.echo.start != self._joining.nonce:
+            return
+        # A leader that has committed nothing in its term may not know yet what is committed.
+        leader_knows = self.state.entries.term_at(req.commit) == req.term
+        if leader_knows and self.state.commit >= req.commit:
+            self._caught_up_ms = max(self._caught_up_ms or 0, req.echo.ms)
 
     def _on_snapshot_request(self, now_ms: int, req: SnapshotRequest) -> None:
         if self._hear_leader(now_ms, req):
--- a/packages/coord/src/nutmegdrum_coord/logmessages.py
+++ b/packages/coord/src/nutmegdrum_coord/logmessages.py
@@ -102,6 +102,21 @@
     granted: bool
 
 
+class Mark(NamedTuple):
+    """A moment of one start of a replica.
+
+    Attributes
+    ----------
+    start : int
+        Random number drawn at the start.
+    ms : int
+        The replica's elapsed time in ms.
+    """
+
+    start: int
+    ms: int
+
+
 class AppendRequest(Message, frozen=True):
     """Entries after `previous`; without entries a heartbeat.
 
@@ -109,12 +124,16 @@
     ----------
     sent_ms : int
         Sender's elapsed time, returned in the reply; dates the lease.
+    echo : Mark or None
+        Mark of the receiver's last reply that had reached the sender; the request was sent later
+        than that, however late it arrives.
     """
 
     previous: LastEntry
     entries: list[Entry]
     commit: LogPosition
     sent_ms: int
+    echo: Mark | None = None
 
 
 class AppendReply(Message, frozen=True):
@@ -125,11 +144,14 @@
     position : LogPosition
         If accepted, the position up to which the logs agree and are synced; if not, the
         position after which to try next.
+    mark : Mark or None
+        When the reply was sent.
     """
 
     accepted: bool
     position: LogPosition
     sent_ms: int
+    mark: Mark | None = None
 
 
 class SnapshotRequest(Message, frozen=True):
--- a/packages/coord/src/nutmegdrum_coord/replication.py
+++ b/packages/coord/src/nutmegdrum_coord/replication.py
@@ -11,6 +11,7 @@
     Entry,
     EntryKind,
     LastEntry,
+    Mark,
     Member,
     SnapshotReply,
     SnapshotRequest,
@@ -40,6 +41,8 @@
         Time at which `sent` was last lowered; refusals of older requests say nothing new.
     chunk : tuple of LogPosition and int
         Position of the snapshot that the member takes, and the offset that it wants next.
+    mark : Mark or None
+        Mark of the last reply.
     """
 
     def __init__(self, sent: LogPosition, now_ms: int):
@@ -49,6 +52,7 @@
         self.reset_ms = now_ms
         self.chunk = (LogPosition(0), 0)
         self.chunk_sent_ms: int | None = None
+        self.mark: Mark | None = None
 
 
 class Leadership:
@@ -144,6 +148,7 @@
     def on_append_reply(self, now_ms: int, reply: AppendReply) -> None:
         """Note what a member has, or where its log differs."""
         progress = self._hear(now_ms, reply.sender, reply.sent_ms)
+        progress.mark = reply.mark
         if not reply.accepted:
             if reply.sent_ms >= progress.reset_ms:
                 progress.reset_ms = now_ms
@@ -210,6 +215,7 @@
             entries=entries,
             commit=self._state.commit,
             sent_ms=now_ms,
+            echo=self._progress_of(member, now_ms).mark,
         )
 
     def _resend_chunk(self, member: Member, progress: Progress, now_ms: int) -> None:
--- a/packages/coord/tests/test_log_safety.py
+++ b/packages/coord/tests/test_log_safety.py
@@ -3,12 +3,13 @@
 import copy
 import random
 
+import msgspec
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from nutmegdrum_coord.logmessages import AppendRequest, decode_message
-from nutmegdrum_testing.lognet import STEP_MS, VMS, Disk, Net
+from nutmegdrum_coord.logmessages import AppendReply, AppendRequest, decode_message, encode_message
+from nutmegdrum_testing.lognet import HEARTBEAT_MS, STEP_MS, VMS, Disk, Net
 
 vms = st.sampled_from(VMS)
 
@@ -175,6 +176,58 @@
         assert net.vms[behind].applied == net.truth.last
 
 
+def sent_to(net, vm):
+    return [decode_message(data) for to, data in net.flying if to == vm]
+
+
+class TestCaughtUp:
+    """Time up to which a follower has all that was committed."""
+
+    def test_follows_the_leader_closely(self, net):
+        commit(net, b"x")
+        net.run(1_000)
+        for name in followers(net):
+            vm = net.vms[name]
+            assert vm.now() - vm.core.caught_up_ms <= 2 * HEARTBEAT_MS + 2 * STEP_MS
+
+    def test_a_message_that_was_held_up_says_nothing_of_now(self, net):
+        lagging = net.vms[followers(net)[0]]
+        net.run(1_000)
+        net.now_ms += HEARTBEAT_MS
+        net.serving().turn()
+        held = [m for m in sent_to(net, lagging.name) if isinstance(m, AppendRequest)]
+        assert held
+        isolate(net, lagging.name)
+        net.flying = []
+        cut_ms = lagging.now()
+        net.serving().turn(commands=[b"x"])
+        net.run(3_000)
+        lagging.turn([encode_message(message) for message in held])
+        net.check()
+        assert lagging.core.caught_up_ms <= cut_ms
+
+    def test_a_leader_that_has_committed_nothing_in_its_term_says_nothing(self, net):
+        follower = net.vms[followers(net)[0]]
+        net.run(1_000)
+        net.now_ms += HEARTBEAT_MS
+        net.serving().turn()
+        request = next(m for m in sent_to(net, follower.name) if isinstance(m, AppendRequest))
+        follower.turn([encode_message(request)])
+        mark = next(m.mark for m in sent_to(net, net.serving().name) if isinstance(m, AppendReply))
+        before_ms = follower.core.caught_up_ms
+        assert mark.ms > before_ms
+        newer = msgspec.structs.replace(request, term=request.term + 1, echo=mark)
+        follower.turn([encode_message(newer)])
+        assert follower.core.caught_up_ms == before_ms
+
+    def test_is_not_known_after_a_restart(self, net):
+        restarted = net.vms[followers(net)[0]]
+        isolate(net, restarted.name)
+        restarted.start()
+        net.run(1_000)
+        assert restarted.core.caught_up_ms is None
+
+
 class LogMachine(RuleBasedStateMachine):
     @initialize(seed=st.integers(0, 1 << 32))
     def form(self, seed):
--- a/packages/kernel/src/nutmegdrum/claimclient.py
+++ b/packages/kernel/src/nutmegdrum/claimclient.py
@@ -21,6 +21,7 @@
     ReleaseClaim,
 )
 from nutmegdrum_coord.ids import IncarnationId, VmId
+from nutmegdrum_coord.lease import DRIFT_BOUND_PPM, PPM
 from nutmegdrum_coord.verdict import (
     DISPATCH_EXPIRED,
     KEY_CONFLICT,
@@ -32,6 +33,8 @@
     Verdict,
 )
 
+from nutmegdrum.sent_keys import KeyMemory
+
 NO_QUORUM_RETRY_MS = 1_000
 RUNNING_RETRY_MS = 1_000
 FIRST_JOIN_POLL_MS = 50
@@ -73,6 +76,20 @@
     resendable: bool = True
 
 
+class ReplicaAnswer(NamedTuple):
+    """What one state replica knows of a request.
+
+    Attributes
+    ----------
+    age_ms : int or None
+        What was committed before this time has reached the replica, in ms before its answer; None
+        if it can't tell.
+    """
+
+    answer: ClaimAnswer
+    age_ms: int | None
+
+
 class ClaimCall:
     """State machine of one request at the VM that received it.
 
@@ -136,27 +153,55 @@
         self.state = CallState.ENDED
         raise _refusal(answer)
 
-    def on_lookup(self, answers: Sequence[ClaimAnswer]) -> NextStep:
+    def on_replicas(self, replicas: Sequence[ReplicaAnswer]) -> NextStep | None:
         """Take what replicas know of the request after a failed proposal.
 
         Returns
         -------
-        NextStep
-            `REPLAY` if an earlier send ran.
+        NextStep or None
+            `REPLAY` if an earlier send ran; None if no replica knows of an earlier send that the
+            caller may have made, so that the entry VMs are to be asked.
 
         Raises
         ------
         Refusal
-            Not run only if no replica that answered knows an earlier send, or if the caller can't
-            have sent the request before.
+            If a replica knows an earlier send, or the caller can't have made one.
         """
-        known = [answer for answer in answers if not self._is_no_other(answer)]
+        known = [r.answer for r in replicas if not self._is_no_other(r.answer)]
         for answer in known:
             if isinstance(answer, ClaimFinished):
                 return self._replay(answer.outcome)
         if known:
             raise _refusal(known[0])
-        raise no_quorum(earlier=self._identity.resendable and not answers)
+        if not self._identity.resendable:
+            raise no_quorum(earlier=False)
+        return None
+
+    def on_entry_vms(
+        self,
+        replicas: Sequence[ReplicaAnswer],
+        memories: Sequence[KeyMemory | None],
+        took_ms: int,
+    ) -> Refusal:
+        """Return the refusal of a request of which no replica that answered knows an earlier send.
+
+        A replica may lack the newest claims, also one that was in touch with the leader until the
+        quorum was lost. Each claim that it may lack was asked for by an entry VM, which remembers
+        it if it has not been restarted since.
+
+        Parameters
+        ----------
+        memories : sequence of KeyMemory or None
+            One for each entry VM, this one included; None for one that did not answer.
+        took_ms : int
+            Time from the first question to the last answer, in ms.
+        """
+        ages = [r.age_ms for r in replicas if r.age_ms is not None]
+        if not ages:
+            return no_quorum(earlier=True)
+        uncovered_ms = (min(ages) + took_ms) * (PPM + 2 * DRIFT_BOUND_PPM) // PPM
+        never = all(m is not None and not m.sent and m.covers_ms > uncovered_ms for m in memories)
+        return no_quorum(earlier=not never)
 
     def next_poll_ms(self) -> int:
         """Return the time to wait before asking again, in ms."""
--- a/packages/kernel/src/nutmegdrum/claimed_calls.py
+++ b/packages/kernel/src/nutmegdrum/claimed_calls.py
@@ -2,7 +2,6 @@
 
 import secrets
 import threading
-from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from hashlib import blake2b
 from typing import NamedTuple
@@ -34,6 +33,7 @@
     ClaimCall,
     ClaimIdentity,
     NextStep,
+    ReplicaAnswer,
     dispatch_expired,
     no_quorum,
 )
@@ -42,10 +42,10 @@
 from nutmegdrum.messages import BackendLost
 from nutmegdrum.plain_http import PlainCall, PlainReply, PlainSender, SendForbidden
 from nutmegdrum.routing_query import Choice, RouteQuery, Routing
+from nutmegdrum.sent_keys import KeyMemory, SentKeys
 from nutmegdrum.settings import Settings
 
 MAX_KEY_CHARACTERS = 255
-MAX_SENT_KEYS = 20_000
 NO_BACKEND_RETRY_MS = 1_000
 _NO_BACKEND_DETAIL = "no backend server of the service can be reached"
 _DIGEST_BYTES = 16
@@ -63,12 +63,15 @@
         certainly not appended, else with `MAY_HAVE_RUN`.
     look_up : callable
         Returns what the replicas that can be reached know of the request of a failed proposal.
+    ask_entry_vms : callable
+        Returns what each other entry VM remembers of a key; None for one that does not answer.
     """
 
     owner: VmId
     incarnation: IncarnationId
     propose: Callable[[Command], ClaimAnswer]
-    look_up: Callable[[BeginClaim], list[ClaimAnswer]]
+    look_up: Callable[[BeginClaim], list[ReplicaAnswer]]
+    ask_entry_vms: Callable[[ClaimKey], list[KeyMemory | None]]
 
 
 class ClaimedCalls:
@@ -99,7 +102,7 @@
         self._guard = guard
         self._backlog = ClaimBacklog()
         self._running: dict[ClaimKey, threading.Event] = {}
-        self._sent: OrderedDict[ClaimKey, None] = OrderedDict()
+        self._keys = SentKeys(clock)
         self._lock = threading.Lock()
 
     def handle(
@@ -115,19 +118,19 @@
         identity = self._identity(query, call, route)
         claim = ClaimCall(identity, self._cfg.claims.dispatch_deadline, self._cfg.claims.join_wait)
         self._end_earlier(identity.key)
-        step = self._own(claim, identity.key)
-        metrics.CLAIMS.labels(step.value).inc()
-        if step is NextStep.REPLAY:
-            return _replayed(claim.outcome)
-        done = threading.Event()
-        with self._lock:
-            self._running[identity.key] = done
+        self._keys.begin(identity.key)
         try:
-            return self._dispatch(claim, identity.key, query, call, fingerprint)
+            step = self._own(claim, identity.key)
+            metrics.CLAIMS.labels(step.value).inc()
+            if step is NextStep.REPLAY:
+                return _replayed(claim.outcome)
+            return self._run(claim, identity.key, query, call, fingerprint)
         finally:
-            with self._lock:
-                self._running.pop(identity.key, None)
-            done.set()
+            self._keys.end(identity.key)
+
+    def memory(self, key: ClaimKey) -> KeyMemory:
+        """Return what this VM remembers of the requests under `key`, for another entry VM."""
+        return self._keys.memory(key)
 
     def tick(self) -> None:
         """Propose one pending end of a claim whose time has come."""
@@ -165,9 +168,9 @@
             except Refusal as exc:
                 metrics.CLAIMS.labels("no-quorum").inc()
                 self._keep(claim.on_proposal_failed(exc))
-                if key in self._sent:
+                if self._keys.was_sent(key):
                     raise no_quorum(earlier=True) from exc
-                return claim.on_lookup(self._state.look_up(command))
+                return self._look_up(claim, command)
             step = claim.on_answer(answer, self._clock.elapsed_ms())
             if step is not NextStep.JOIN:
                 return step
@@ -175,6 +178,36 @@
                 done = self._running.get(key) or threading.Event()
             done.wait(claim.next_poll_ms() / _MS_PER_S)
 
+    def _look_up(self, claim: ClaimCall, command: BeginClaim) -> NextStep:
+        """Find out from other VMs whether the request was sent before, and replay or refuse it."""
+        asked_ms = self._clock.elapsed_ms()
+        replicas = self._state.look_up(command)
+        step = claim.on_replicas(replicas)
+        if step is not None:
+            return step
+        memories = self._state.ask_entry_vms(command.key)
+        own = self._keys.memory(command.key, own=1)
+        took_ms = self._clock.elapsed_ms() - asked_ms
+        raise claim.on_entry_vms(replicas, [own, *memories], took_ms)
+
+    def _run(
+        self,
+        claim: ClaimCall,
+        key: ClaimKey,
+        query: RouteQuery,
+        call: PlainCall,
+        fingerprint: Fingerprint,
+    ) -> PlainReply:
+        done = threading.Event()
+        with self._lock:
+            self._running[key] = done
+        try:
+            return self._dispatch(claim, key, query, call, fingerprint)
+        finally:
+            with self._lock:
+                self._running.pop(key, None)
+            done.set()
+
     def _dispatch(
         self,
         claim: ClaimCall,
@@ -231,10 +264,7 @@
 
     def _send(self, claim: ClaimCall, key: ClaimKey, choice: Choice, call: PlainCall) -> PlainReply:
         def may_send() -> bool:
-            with self._lock:
-                self._sent[key] = None
-                if len(self._sent) > MAX_SENT_KEYS:
-                    self._sent.popitem(last=False)
+            self._keys.note_sent(key)
             return claim.may_send(self._clock.elapsed_ms())
 
         backend = choice.backend
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -11,6 +11,7 @@
 from nutmegdrum.admission import Admission, new_control
 from nutmegdrum.cache_poller import POLL_MS as CACHE_POLL_MS
 from nutmegdrum.cache_poller import CachePoller
+from nutmegdrum.claimclient import ReplicaAnswer
 from nutmegdrum.claimed_calls import ClaimWriter
 from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.entry_peers import EntryPeers
@@ -97,7 +98,13 @@
         self.journal = self.streaming.journal
         budget = RetryBudget()
         registry.listen(Event.BACKEND_LOST, lambda **_: budget.on_recovery(clock.elapsed_ms()))
-        claims = ClaimWriter(cfg.vm.id, incarnation, self._propose_claim, self._look_up_claim)
+        claims = ClaimWriter(
+            cfg.vm.id,
+            incarnation,
+            self._propose_claim,
+            self._look_up_claim,
+            peers.ask_for_key,
+        )
         self.plain = PlainPath(cfg, clock, routing, self.guard, claims, budget)
         self.heartbeater = Heartbeater(
             cfg,
@@ -110,6 +117,7 @@
             self.tally,
             peers,
             incarnation,
+            self.plain.key_memory,
         )
         self.gossip = self.heartbeater.gossip
         self._ticker = Ticker("heartbeat", cfg.control.heartbeat, self.heartbeater.beat)
@@ -131,15 +139,11 @@
         encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
         return decode_answer(self.state.propose(encoded, CLAIM_TIMEOUT_MS), ClaimAnswer)
 
-    def _look_up_claim(self, begin: BeginClaim) -> list[ClaimAnswer]:
-        query = ClaimQuery(
-            key=begin.key,
-            digest=begin.digest,
-            token=begin.token,
-            silence_ms=self.heartbeater.silence_ms(),
-        )
-        answers = self.state.read_any(encode_query(query), LOOK_UP_TIMEOUT_MS)
-        return [decode_query_answer(answer).answer for answer in answers]
+    def _look_up_claim(self, begin: BeginClaim) -> list[ReplicaAnswer]:
+        query = ClaimQuery(key=begin.key, digest=begin.digest, token=begin.token)
+        encoded = self.state.read_any(encode_query(query), LOOK_UP_TIMEOUT_MS)
+        known = [decode_query_answer(answer) for answer in encoded]
+        return [ReplicaAnswer(each.answer, each.age_ms) for each in known]
 
     def _propose_suspicion(self, command: Command) -> QuarantineAnswer:
         encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
--- a/packages/kernel/src/nutmegdrum/entry_peers.py
+++ b/packages/kernel/src/nutmegdrum/entry_peers.py
@@ -2,18 +2,21 @@
 
 import random
 from collections.abc import Sequence
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor, wait
 
 import msgspec
+from nutmegdrum_coord.claims import ClaimKey
 from nutmegdrum_coord.ids import Fingerprint
 from nutmegdrum_coord.verdict import Refusal
 
 from nutmegdrum.packing import pack, unpack
 from nutmegdrum.rpc import PeerUnreachable, RpcClient
+from nutmegdrum.sent_keys import KeyMemory
 from nutmegdrum.settings import PeerSettings, Settings
 from nutmegdrum.view import View
 
 PEER_TIMEOUT_MS = 500
+MS_PER_S = 1_000
 _TELL_THREADS = 4
 
 NEWEST = (1 << 63) - 1
@@ -29,16 +32,20 @@
         Generation of its view, 0 if it has none.
     suspects : list of Fingerprint
         Requests that a backend server ran when it died just now.
+    key : ClaimKey or None
+        Key of a non-idempotent request of which it asks whether the other VM sent it.
     """
 
     generation: int
     suspects: list[Fingerprint] = []
+    key: ClaimKey | None = None
 
 
 class GossipAnswer(msgspec.Struct, frozen=True):
-    """The other VM's view, if it is newer."""
+    """The other VM's view, if it is newer, and what it remembers of the key asked for."""
 
     view: View | None = None
+    memory: KeyMemory | None = None
 
 
 class EntryPeers:
@@ -74,6 +81,16 @@
         for peer in self._peers:
             self._pool.submit(self._exchange, peer, digest)
 
+    def ask_for_key(self, key: ClaimKey) -> list[KeyMemory | None]:
+        """Return what each other entry VM remembers of `key`; None for one that does not answer."""
+        digest = GossipDigest(NEWEST, key=key)
+        futs = [self._pool.submit(self._exchange, peer, digest) for peer in self._peers]
+        wait(futs, PEER_TIMEOUT_MS / MS_PER_S)
+        answers = [fut.result() if fut.done() else None for fut in futs]
+        for fut in futs:
+            fut.cancel()
+        return [None if answer is None else answer.memory for answer in answers]
+
     def _exchange(self, peer: PeerSettings, digest: GossipDigest) -> GossipAnswer | None:
         try:
             data = self._rpc.call(peer.address, "gossip", pack(digest), timeout_ms=PEER_TIMEOUT_MS)
--- a/packages/kernel/src/nutmegdrum/freshness.py
+++ b/packages/kernel/src/nutmegdrum/freshness.py
@@ -60,10 +60,6 @@
         """Take in a view from a peer, which renews no lease; return whether it was newer."""
         return self._take(view)
 
-    def silence_ms(self, now_ms: ElapsedMs) -> int:
-        """Return the time since the last fresh answer in ms; 0 if there was none."""
-        return 0 if self._renewed_ms is None else now_ms - self._renewed_ms
-
     def freshness(self, now_ms: ElapsedMs) -> Freshness:
         """Return what is allowed at `now_ms`."""
         if self._renewed_ms is None:
--- a/packages/kernel/src/nutmegdrum/heartbeat.py
+++ b/packages/kernel/src/nutmegdrum/heartbeat.py
@@ -1,7 +1,9 @@
 """Reports of an entry VM to the state leader, and the views that come back."""
 
 import threading
+from collections.abc import Callable
 
+from nutmegdrum_coord.claims import ClaimKey
 from nutmegdrum_coord.clock import Clock, ElapsedMs
 from nutmegdrum_coord.ids import BackendId, IncarnationId, NoteNumber
 
@@ -17,6 +19,7 @@
 from nutmegdrum.platform import PlatformClient
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import PeerUnreachable
+from nutmegdrum.sent_keys import KeyMemory
 from nutmegdrum.service_tally import ServiceTally
 from nutmegdrum.settings import Settings
 from nutmegdrum.state_client import StateClient
@@ -36,6 +39,8 @@
     ----------
     incarnation : IncarnationId
         Identity of this start of the daemon.
+    key_memory : callable
+        Returns what this VM remembers of the non-idempotent requests under a key.
     """
 
     def __init__(
@@ -50,6 +55,7 @@
         tally: ServiceTally,
         peers: EntryPeers,
         incarnation: IncarnationId,
+        key_memory: Callable[[ClaimKey], KeyMemory],
     ):
         self._cfg = cfg
         self._clock = clock
@@ -62,6 +68,7 @@
         self._unsent_trips: list[TrialTrip] = []
         self._peers = peers
         self._incarnation = incarnation
+        self._key_memory = key_memory
         self._platform = PlatformClient(cfg.platform)
         self._fresh_view = FreshView()
         self._was_fresh = False
@@ -71,17 +78,14 @@
         """Return whether a view was received since the start."""
         return self._fresh_view.known is not None
 
-    def silence_ms(self) -> int:
-        """Return the time since a leader last answered in ms; 0 if none has."""
-        return self._fresh_view.silence_ms(self._clock.elapsed_ms())
-
     def gossip(self, digest: bytes) -> bytes:
-        """Answer another entry VM's digest with this VM's view, if it is newer."""
+        """Answer another entry VM's digest with this VM's view, if newer, and what it asks for."""
         theirs = unpack(digest, GossipDigest)
         self._guard.hear(theirs.suspects)
         view = self._fresh_view.known
         newer = view is not None and view.generation > theirs.generation
-        return pack(GossipAnswer(view if newer else None))
+        memory = None if theirs.key is None else self._key_memory(theirs.key)
+        return pack(GossipAnswer(view if newer else None, memory))
 
     def beat(self) -> None:
         """Send one heartbeat and take its answer."""
--- a/packages/kernel/src/nutmegdrum/lognode.py
+++ b/packages/kernel/src/nutmegdrum/lognode.py
@@ -217,13 +217,13 @@
         rest = entries.between(after, entries.last.position)
         return [entry.data for entry in rest if entry.kind is EntryKind.COMMAND]
 
-    def in_touch_ms(self) -> int | None:
-        """Return the elapsed time in ms at which this replica last led or heard a leader.
+    def caught_up_ms(self) -> int | None:
+        """Return the elapsed time in ms up to which this replica has all that was committed.
 
-        None if it has done neither since its start.
+        It may not have applied all of it. None if it was never so since its start.
         """
         return max(
-            (ms for ms in (self._core.heard_leader_ms, self._led_until_ms) if ms is not None),
+            (ms for ms in (self._core.caught_up_ms, self._led_until_ms) if ms is not None),
             default=None,
         )
 
--- a/packages/kernel/src/nutmegdrum/plain.py
+++ b/packages/kernel/src/nutmegdrum/plain.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from nutmegdrum_coord.claims import ClaimKey
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import GenerationId, ModelName, WorkspaceId
 from nutmegdrum_coord.verdict import NOT_FOUND, Reason, Refusal, Verdict
@@ -13,6 +14,7 @@
 from nutmegdrum.repeated_calls import RepeatedCalls
 from nutmegdrum.retries import RetryBudget
 from nutmegdrum.routing_query import RouteQuery, Routing
+from nutmegdrum.sent_keys import KeyMemory
 from nutmegdrum.settings import CallKind, RouteSettings, Settings
 
 
@@ -93,6 +95,10 @@
         """Carry on with the ends of claims that could not be committed; call it often."""
         self._claimed.tick()
 
+    def key_memory(self, key: ClaimKey) -> KeyMemory:
+        """Return what this VM remembers of the non-idempotent requests under `key`."""
+        return self._claimed.memory(key)
+
     def pending_claims(self) -> int:
         """Return the number of claims whose end is not committed yet."""
         return self._claimed.pending()
--- a/packages/kernel/src/nutmegdrum/queries.py
+++ b/packages/kernel/src/nutmegdrum/queries.py
@@ -82,14 +82,11 @@
     ----------
     token : str
         The asker's own attempt, which is left out.
-    silence_ms : int
-        Time since the asker last heard of a leader, in ms.
     """
 
     key: ClaimKey
     digest: bytes
     token: str
-    silence_ms: int = 0
 
 
 class NoteSummary(msgspec.Struct, frozen=True, kw_only=True):
@@ -109,9 +106,17 @@
 
 
 class ClaimKnown(QueryAnswer, frozen=True, kw_only=True):
-    """What one replica knows of a non-idempotent request."""
+    """What one replica knows of a non-idempotent request.
+
+    Attributes
+    ----------
+    age_ms : int or None
+        What was committed before this time has reached the replica, in ms before its answer; None
+        if it can't tell.
+    """
 
     answer: ClaimAnswer
+    age_ms: int | None = None
 
 
 class NoteList(QueryAnswer, frozen=True, kw_only=True):
--- a/packages/kernel/src/nutmegdrum/state_daemon.py
+++ b/packages/kernel/src/nutmegdrum/state_daemon.py
@@ -36,8 +36,6 @@
 
 PROPOSE_TIMEOUT_S = 3.0
 LEADER_TICK_MS = 100
-TOUCH_MARGIN_MS = 1_000
-"""Time that a replica may have been out of touch with the leader longer than an asker, in ms."""
 BACKEND_PROTOCOL = "http"
 ROLLOUT_JUDGE = "sequential"
 
@@ -188,14 +186,10 @@
         """Return what this replica's state and the rest of its log say of a request.
 
         A replica that was restarted, or led without a quorum, holds entries that it may not apply;
-        they may be committed all the same. One that lost touch with the leader before the asker
-        did may have missed the claim, so it does not say that there is none.
-
-        Raises
-        ------
-        Refusal
-            `NO_QUORUM` if nothing is known here and this replica may lag.
+        they may be committed all the same. The age is that of the oldest committed entry that it
+        may lack, at most.
         """
+        caught_up_ms = self._log.caught_up_ms()
         with self._shared.lock:
             claims: Claims = self._shared.state.parts[Claims.name]
             answer = claims.look_up(query.key, query.digest)
@@ -206,16 +200,8 @@
                     answer = ClaimRunning(
                         owner=begin.owner, incarnation=begin.incarnation, token=begin.token
                     )
-        if isinstance(answer, ClaimUnknown) and not self._keeps_up(query.silence_ms):
-            raise v.Refusal(v.NO_QUORUM, detail="this replica may lag")
-        return ClaimKnown(answer=answer)
-
-    def _keeps_up(self, asker_silence_ms: int) -> bool:
-        in_touch_ms = self._log.in_touch_ms()
-        if in_touch_ms is None:
-            return False
-        silence_ms = self._clock.elapsed_ms() - in_touch_ms
-        return silence_ms <= asker_silence_ms + TOUCH_MARGIN_MS
+        age_ms = None if caught_up_ms is None else self._clock.elapsed_ms() - caught_up_ms
+        return ClaimKnown(answer=answer, age_ms=age_ms)
 
     def _tick(self) -> None:
         self._leader.tick().get()
--- a/packages/kernel/tests/test_move_processes.py
+++ b/packages/kernel/tests/test_move_processes.py
@@ -54,7 +54,7 @@
             operator.change_version("2")
             move = wait_for(operator.ended_move, TIMEOUT_S)
         assert (move["state"], move["late"]) == ("done", False)
-        assert set(traffic.ended) == {"done"}
+        assert set(traffic.ended) == {"done"}, traffic.problems
         before = requests_to(deployment, "1")
         deployment.caller().generate("m", "after the move", 3).check(3)
         assert requests_to(deployment, "1") == before
@@ -67,7 +67,7 @@
         assert move["state"] == "taken back"
         assert move["reason"]
         assert requests_to(deployment, "2") <= MAX_BAD_SHARE * requests_served(deployment)
-        assert set(traffic.ended) == {"done"}
+        assert set(traffic.ended) == {"done"}, traffic.problems
 
     def test_entry_vm_that_is_cut_off_stops_sending_to_a_version_under_trial(
         self, deployment, operator
--- a/packages/kernel/tests/test_plain.py
+++ b/packages/kernel/tests/test_plain.py
@@ -1,6 +1,7 @@
 import random
 
 import pytest
+from nutmegdrum.claimclient import ReplicaAnswer
 from nutmegdrum.claimed_calls import ClaimWriter
 from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.guarded_routing import GuardedRouting
@@ -46,9 +47,13 @@
         self.failure: Refusal | None = None
         self.applies = True
         self.readable = True
+        self.age_ms = 0
+        self.vms = []
 
     def look_up(self, begin):
-        return [self.claims.look_up(begin.key, begin.digest)] if self.readable else []
+        if not self.readable:
+            return []
+        return [ReplicaAnswer(self.claims.look_up(begin.key, begin.digest), self.age_ms)]
 
     def propose(self, command):
         answer = None
@@ -92,12 +97,22 @@
         self.sender = sender or Sender()
         router = Router(self.cfg, self.clock, random.Random(1), Registry())
         writer = ClaimWriter(
-            VmId(name), IncarnationId(name), self.state.propose, self.state.look_up
+            VmId(name),
+            IncarnationId(name),
+            self.state.propose,
+            self.state.look_up,
+            self._ask_entry_vms,
         )
+        self.state.vms.append(self)
+        self.answers = True
         guard = CrashGuard(VmId(name), self.clock, self.state.propose, lambda backend: True)
         routing = GuardedRouting(router, guard)
         self.path = PlainPath(self.cfg, self.clock, routing, guard, writer, sender=self.sender)
 
+    def _ask_entry_vms(self, key):
+        others = [vm for vm in self.state.vms if vm is not self]
+        return [vm.path.key_memory(key) if vm.answers else None for vm in others]
+
     def call(self, method="POST", body=b"farm 7", key="k1"):
         headers = {"Idempotency-Key": key} if key else {}
         route = self.path.find_route("/desk/bookings")
@@ -159,6 +174,7 @@
 
     def test_no_quorum_is_refused_not_run(self):
         vm = Vm()
+        vm.clock.advance(1)
         vm.state.applies = False
         vm.state.failure = Refusal(NO_QUORUM, Verdict.NOT_RUN)
         refusal = vm.refusal()
@@ -183,6 +199,8 @@
     def test_unknown_fate_of_a_claim_is_not_run_and_freed_later(self):
         vm = Vm()
         other = Vm(vm.state, vm.sender, "e2")
+        for each in (vm, other):
+            each.clock.advance(1)
         vm.state.failure = Refusal(NO_QUORUM, Verdict.MAY_HAVE_RUN)
         assert vm.refusal().verdict is Verdict.NOT_RUN
         vm.state.failure = None
@@ -206,6 +224,66 @@
         assert vm.refusal().verdict is Verdict.MAY_HAVE_RUN
 
 
+class TestWithoutQuorum:
+    """The only replica that answers lacks the newest claims."""
+
+    AGE_MS = 2_000
+
+    def world(self):
+        first = Vm()
+        second = Vm(first.state, first.sender, "e2")
+        for vm in (first, second):
+            vm.clock.advance(10_000)
+        return first, second
+
+    def lose_quorum(self, state):
+        state.claims = Claims()
+        state.applies = False
+        state.age_ms = self.AGE_MS
+        state.failure = Refusal(NO_QUORUM, Verdict.NOT_RUN)
+
+    def test_a_claim_that_the_replica_lacks_is_known_to_the_vm_that_sent_it(self):
+        first, second = self.world()
+        first.call()
+        self.lose_quorum(first.state)
+        assert second.refusal().verdict is Verdict.MAY_HAVE_RUN
+        assert second.refusal(key="k2").verdict is Verdict.NOT_RUN
+
+    def test_a_request_that_another_vm_may_still_send_may_run(self):
+        first, second = self.world()
+        verdicts = []
+
+        def resend():
+            self.lose_quorum(first.state)
+            verdicts.append(second.refusal().verdict)
+
+        first.sender.before_send = resend
+        first.call()
+        assert verdicts == [Verdict.MAY_HAVE_RUN]
+
+    def test_a_vm_that_does_not_answer_may_have_sent_it(self):
+        first, second = self.world()
+        first.call()
+        self.lose_quorum(first.state)
+        first.answers = False
+        assert second.refusal().verdict is Verdict.MAY_HAVE_RUN
+
+    def test_a_vm_restarted_since_the_replica_knew_all_may_have_sent_it(self):
+        first, second = self.world()
+        first.call()
+        self.lose_quorum(first.state)
+        first.state.vms.remove(first)
+        restarted = Vm(first.state, first.sender)
+        restarted.clock.advance(self.AGE_MS)
+        assert second.refusal().verdict is Verdict.MAY_HAVE_RUN
+
+    def test_a_replica_that_cannot_tell_its_age_vouches_for_nothing(self):
+        first, second = self.world()
+        self.lose_quorum(first.state)
+        first.state.age_ms = None
+        assert second.refusal().verdict is Verdict.MAY_HAVE_RUN
+
+
 class TestIdempotentCall:
     def test_loss_is_repeated_on_another_backend_server_without_quorum(self):
         vm = Vm()
--- a/packages/kernel/tests/test_plain_processes.py
+++ b/packages/kernel/tests/test_plain_processes.py
@@ -105,6 +105,24 @@
 
 
 class TestLaggingReplica:
+    def test_a_replica_that_the_claim_never_reached_does_not_vouch(self):
+        with Deployment(msgspec.structs.replace(OPTIONS, peer_links=True)) as deployment:
+            *others, lagging = deployment.states
+            links = [deployment.link(vm.vm, lagging.vm) for vm in others]
+            links += [deployment.link(lagging.vm, vm.vm) for vm in others]
+            for link in links:
+                link.silence()
+            caller = deployment.booking_caller()
+            wait_for(lambda: caller.book("farm", "k1").status == 201, 20)
+            for state in others:
+                state.running.kill()
+            for link in links:
+                link.reset()
+                link.heal()
+            refused = wait_for(lambda: _refused(caller.book("farm", "k1", entry=1)), 20)
+            assert refused.problem.verdict == "may-have-run"
+            assert len(executions_of(deployment, "k1")) == 1
+
     def test_a_replica_that_missed_the_claim_does_not_vouch_that_it_never_ran(self):
         with Deployment(msgspec.structs.replace(OPTIONS, peer_links=True)) as deployment:
             *others, lagging = deployment.states
--- a/packages/kernel/tests/test_stream_processes.py
+++ b/packages/kernel/tests/test_stream_processes.py
@@ -171,7 +171,7 @@
             seen = stream.count
             headers = {"Last-Event-ID": stream.result.last_event_id}
             other = caller.generate(MODEL, "prompt 0", COUNT, entry=1, headers=headers)
-            assert other.ended == "done"
+            assert other.ended == "done", other.problem
             owner.resume()
             former = stream.join()
             assert former.ended == "error"
--- a/packages/testing/src/nutmegdrum_testing/lognet.py
+++ b/packages/testing/src/nutmegdrum_testing/lognet.py
@@ -2,7 +2,8 @@
 
 The checks: one leader a term and one vote a term, also over restarts; equal entries at equal
 position and term; committed entries never change, and each leader that serves has them all; no
-two leaders serve at a time, while clocks differ by the drift bound.
+two leaders serve at a time, while clocks differ by the drift bound; a follower has all entries
+that were committed before the time up to which it says so.
 """
 
 import random
@@ -29,6 +30,7 @@
 HEARTBEAT_MS = 100
 ELECTION_TIMEOUT_MS = 500
 NEVER_MS = 1 << 40
+START_MS = 10_000
 KEEP = 2
 CHUNKS = 3
 MAX_FLYING = 1_000
@@ -70,6 +72,7 @@
         self.votes = {}
         self.entries = {}
         self.committed = {}
+        self.committed_ms = {}
         self.states = {0: b""}
         self.members = None
 
@@ -99,7 +102,7 @@
 
     def now(self):
         """Return the VM's own elapsed time in ms, with its drift."""
-        return int(self.net.now_ms * DRIFT[self.name]) + 10_000
+        return int(self.net.now_ms * DRIFT[self.name]) + START_MS
 
     def lose_disk(self):
         """Replace the disk by an empty one, of a new incarnation."""
@@ -223,6 +226,7 @@
             self.state = chain(self.state, entry)
             content = (entry.term, entry.at, bytes(entry.data))
             truth.once(truth.committed, entry.position, content)
+            truth.committed_ms.setdefault(entry.position, self.net.now_ms)
             truth.once(truth.states, entry.position, self.state)
             before = truth.committed.get(entry.position - 1)
             assert before is None or before[1] <= entry.at
@@ -242,6 +246,16 @@
         """Return whether the core would serve now."""
         return self.core is not None and self.core.serves(self.now())
 
+    def check_caught_up(self):
+        """Check that the log holds all that was committed up to the time that the core says."""
+        caught_up_ms = None if self.core is None else self.core.caught_up_ms
+        if caught_up_ms is None:
+            return
+        upto_ms = (caught_up_ms - START_MS) / DRIFT[self.name]
+        committed = self.net.truth.committed_ms.items()
+        due = max((position for position, ms in committed if ms < upto_ms), default=0)
+        assert self.core.state.entries.last.position >= due
+
     def counts(self):
         """Return whether the disk holds all that this VM promised as a voter."""
         members = self.net.truth.members
@@ -297,6 +311,8 @@
         for vm in self.vms.values():
             if vm.core is not None and vm.core.leads:
                 self.truth.once(self.truth.leaders, vm.core.state.term, vm.core.identity)
+        for vm in self.vms.values():
+            vm.check_caught_up()
         serving = [vm for vm in self.vms.values() if vm.serves()]
         assert len(serving) <= 1, [vm.name for vm in serving]
         for vm in serving:
--- a/packages/testing/src/nutmegdrum_testing/traffic.py
+++ b/packages/testing/src/nutmegdrum_testing/traffic.py
@@ -14,10 +14,13 @@
     ----------
     ended : Counter
         Number of answers by how they ended.
+    problems : list
+        What was said of the answers that did not end well.
     """
 
     def __init__(self, caller: Caller, model: str, threads: int = 6, tokens: int = 3):
         self.ended: Counter[str] = Counter()
+        self.problems: list[object] = []
         self._caller = caller
         self._model = model
         self._tokens = tokens
@@ -46,3 +49,5 @@
             self.ended[result.ended] += 1
             if result.ended == "done":
                 result.check(self._tokens)
+            else:
+                self.problems.append(result.problem)
