Close idle connections to backend servers that are not asked again

Cause: kept connections were looked at only when their backend server was asked again, so those of one that had left stayed open until the process ended. Now each kept connection's end may close all that were idle too long, once a second at most. Ruled out: a thread for it, as nothing new is kept without traffic. Tests: the second of TestKeptConnections failed before.

--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -38,6 +38,10 @@
 """Idle time up to which a connection carries requests that may not be repeated; a backend server
 may drop idle connections early, and what was sent on one of them may have run."""
 
+CLOSING_PERIOD = Duration(1_000)
+"""Time between two looks for connections that were idle too long; the shortest idle time that a
+backend server can name, in whole seconds."""
+
 READ_BYTES = 64 << 10
 _MS_PER_S = 1_000
 
@@ -227,6 +231,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._idle: dict[BackendId, deque[_Idle]] = defaultdict(deque)
+        self._closing_due_ms = 0
 
     def open(
         self, backend: BackendId, address: Address, fresh: bool, timeout: Duration = CONNECT_TIMEOUT
@@ -283,6 +288,22 @@
         idle = _Idle(exchange.connection, now_ms, now_ms + exchange.idle_time())
         with self._lock:
             self._idle[backend].append(idle)
+            expired = self._take_expired(now_ms)
+        for conn in expired:
+            conn.close()
+
+    def _take_expired(self, now_ms: int) -> list[HTTPConnection]:
+        """Return the connections to be closed, also those of backend servers that have left."""
+        if now_ms < self._closing_due_ms:
+            return []
+        self._closing_due_ms = now_ms + int(CLOSING_PERIOD)
+        expired = []
+        for backend, idle in list(self._idle.items()):
+            expired += [item.conn for item in idle if item.until_ms <= now_ms]
+            self._idle[backend] = deque(item for item in idle if item.until_ms > now_ms)
+            if not self._idle[backend]:
+                del self._idle[backend]
+        return expired
 
     def forget(self, backend: BackendId) -> None:
         """Close the kept connections of a backend server that was found down."""
