--- a/packages/relay/src/nutmegdrum_relay/daemon.py
+++ b/packages/relay/src/nutmegdrum_relay/daemon.py
@@ -19,8 +19,9 @@
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import Dialect
 from nutmegdrum_relay.entry_role import EntryRole
+from nutmegdrum_relay.replica_log import replica_vm
 from nutmegdrum_relay.settings import RelayRole, RelaySettings
-from nutmegdrum_relay.state_role import StatePeers, StateRole, replica_vm
+from nutmegdrum_relay.state_role import StatePeers, StateRole
 
 SEED_BITS = 64
 
--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -7,42 +7,32 @@
 from pathlib import Path
 
 from nutmegdrum.errors import UserError
-from nutmegdrum.lognode import LogNode
 from nutmegdrum.packing import pack, unpack
 from nutmegdrum.rpc import PeerUnreachable, RpcClient
-from nutmegdrum.settings import ListenSettings, PeerSettings, Role, Settings, VmSettings
 from nutmegdrum.shared_state import SharedState
 from nutmegdrum.units import Address, Duration
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import BackendId, IncarnationId, VmId
+from nutmegdrum_coord.ids import IncarnationId, VmId
 from nutmegdrum_coord.parts import PartedState, decode_answer, encode_command
-from nutmegdrum_coord.statemachine import StateMachine
 from nutmegdrum_wire.gen.messages.ttypes import Sender
 
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import Dialect
 from nutmegdrum_relay.document_cache import CacheWriter, DocumentCache
+from nutmegdrum_relay.entry_reports import EntryReports, report_wait_ms
 from nutmegdrum_relay.list_reader import ListReader
 from nutmegdrum_relay.loop import Loop
 from nutmegdrum_relay.membership import wanted_vms
+from nutmegdrum_relay.replica_log import open_log, replica_vm
 from nutmegdrum_relay.revisions import PutAnswer, PutDocument, Revision, Revisions, VersionTaken
 from nutmegdrum_relay.settings import RelaySettings
 from nutmegdrum_relay.shared_listing import ListingShare
-from nutmegdrum_relay.views import NO_WORK, ControlView, EntryReport, Work
+from nutmegdrum_relay.views import ControlView, EntryReport
 
 PROPOSE_TIMEOUT = Duration(900)
 """Wait for a commit; operators move on to another replica after a second without an answer."""
 
-REPORT_VALID = Duration(2_000)
-"""Time for which an entry VM's report counts; several of its report periods."""
-
-MIN_REPORT_WAIT = Duration(100)
-"""Shortest wait of a report; placement needs what others sent within a tenth of a prompt's time."""
-
-REPORTS_PER_S = 300
-"""Reports a second that a leader takes; docs/design/platform.md, cost of reports."""
-
 LIST_PERIOD = Duration(500)
 """Time between two readings of the platform's list by the leader, a fraction of the bound on
 draining."""
@@ -53,70 +43,6 @@
 _MS_PER_S = 1_000
 
 
-def report_wait_ms(entry_vms: int) -> int:
-    """Return how long each entry VM's report may wait, so that a leader's work stays bounded."""
-    return max(MIN_REPORT_WAIT, entry_vms * _MS_PER_S // REPORTS_PER_S)
-
-
-def replica_vm(address: Address) -> VmId:
-    """Return a state replica's VM id, which is the address of its peers' listener.
-
-    Replicas learn of each other at run time; an id that can be called needs no directory.
-    """
-    return VmId(str(address))
-
-
-class _LogTransport:
-    """Carries the log's messages to the replicas, whose ids are their addresses."""
-
-    def __init__(self, rpc: RpcClient, timeout: Duration):
-        self._rpc = rpc
-        self._timeout_ms = int(timeout)
-        self._lost: set[VmId] = set()
-
-    def send(self, to: VmId, messages: list[bytes]) -> list[bytes]:
-        """Send messages and return those that came back.
-
-        Raises
-        ------
-        PeerUnreachable
-            If no answer came in time.
-        """
-        try:
-            replies = self._rpc.call(
-                Address(to), "exchange_log", messages, timeout_ms=self._timeout_ms
-            )
-        except PeerUnreachable as exc:
-            if to not in self._lost:
-                self._lost.add(to)
-                log_decision("replica_lost", replica=to, error=repr(exc.__cause__))
-            raise
-        if to in self._lost:
-            self._lost.discard(to)
-            log_decision("replica_regained", replica=to)
-        return replies
-
-
-class _Machine:
-    """State machine of the log that says when a command was applied."""
-
-    def __init__(self, inner: StateMachine, changed: Callable[[], None]):
-        self._inner = inner
-        self._changed = changed
-        self.snapshot = inner.snapshot
-
-    def apply(self, position, at, command: bytes) -> bytes:
-        """Apply one committed command."""
-        answer = self._inner.apply(position, at, command)
-        self._changed()
-        return answer
-
-    def restore(self, snapshot: bytes) -> None:
-        """Replace the whole state."""
-        self._inner.restore(snapshot)
-        self._changed()
-
-
 class StateRole:
     """All that one state replica does.
 
@@ -148,15 +74,8 @@
         self._cached = cache.load()
         self._cache_writer = CacheWriter(cache)
         self._applied = threading.Condition()
-        self._reports: dict[VmId, tuple[int, EntryReport]] = {}
-        self._reports_lock = threading.Lock()
-        self._log = LogNode(
-            _log_settings(cfg, self._vm),
-            clock,
-            rng,
-            _Machine(self._shared, self._notify),
-            _LogTransport(rpc, cfg.control.election_timeout),
-        )
+        self._reports = EntryReports(clock)
+        self._log = open_log(cfg, clock, rng, rpc, self._shared, self._notify)
         self._listing = ListingShare(clock, f"{self._vm}/{incarnation}")
         self._list_reader: ListReader | None = None
         if cfg.backend_list is not None:
@@ -269,7 +188,7 @@
     def heartbeat(self, report: bytes) -> bytes:
         """Take an entry VM's report; a leader answers once there is something newer."""
         decoded = unpack(report, EntryReport)
-        self._note(decoded)
+        self._reports.note(decoded)
         until_ms = self._clock.elapsed_ms() + decoded.wait_ms
         with self._applied:
             while (
@@ -281,15 +200,16 @@
         fresh = self._log.is_leader()
         revision = max(self._newest(), self._cached, key=lambda r: r.version)
         newer = revision.version > decoded.version
+        others = self._reports.others(decoded.vm)
         view = ControlView(
             fresh=fresh and self._log.is_leader(),
             version=revision.version,
             source=revision.source if newer else b"",
             replicas=tuple(Address(member.vm) for member in self._log.members().everyone()),
-            work=self._others_work(decoded.vm),
-            down=self._others_down(decoded.vm),
+            work=others.work(),
+            down=others.down(),
             listing=self._listing.for_entry(decoded.listing) if fresh else None,
-            wait_ms=report_wait_ms(len(self._others_reports(decoded.vm)) + 1),
+            wait_ms=report_wait_ms(len(others) + 1),
         )
         return pack(view)
 
@@ -306,29 +226,6 @@
         with self._applied:
             self._applied.notify_all()
 
-    def _note(self, report: EntryReport) -> None:
-        with self._reports_lock:
-            self._reports[report.vm] = (self._clock.elapsed_ms(), report)
-
-    def _others_reports(self, vm: VmId) -> list[EntryReport]:
-        oldest_ms = self._clock.elapsed_ms() - REPORT_VALID
-        with self._reports_lock:
-            return [
-                report
-                for other, (at_ms, report) in self._reports.items()
-                if other != vm and at_ms >= oldest_ms
-            ]
-
-    def _others_work(self, vm: VmId) -> dict[BackendId, Work]:
-        total: dict[BackendId, Work] = {}
-        for report in self._others_reports(vm):
-            for backend, work in report.work.items():
-                total[backend] = total.get(backend, NO_WORK) + work
-        return total
-
-    def _others_down(self, vm: VmId) -> tuple[BackendId, ...]:
-        return tuple({backend for report in self._others_reports(vm) for backend in report.down})
-
     def _look_at_members(self) -> Duration:
         leads = self._log.is_leader()
         if leads != self._led:
@@ -372,24 +269,3 @@
     def heartbeat(self, sender: Sender, report: bytes) -> bytes:
         """Take an entry VM's report and return what is newer than it."""
         return self._state.heartbeat(report)
-
-
-def _log_settings(cfg: RelaySettings, vm: VmId) -> Settings:
-    """Return the settings of the log's node; the seeds and this VM may found the cluster."""
-    founders = {replica_vm(address) for address in cfg.seed_peers()} | {vm}
-    return Settings(
-        deployment=cfg.deployment,
-        vm=VmSettings(
-            id=vm,
-            data_centre=cfg.place.data_centre,
-            region=cfg.place.region,
-            data_folder=cfg.data_folder,
-        ),
-        roles=[Role.STATE],
-        listen=ListenSettings(ops=cfg.listen.metrics, peers=cfg.listen.peers),
-        state_replicas=[
-            PeerSettings(vm=peer, address=Address(peer), data_centre=cfg.place.data_centre)
-            for peer in sorted(founders)
-        ],
-        control=cfg.control,
-    )
--- a/packages/relay/tests/test_state_role.py
+++ b/packages/relay/tests/test_state_role.py
@@ -11,8 +11,9 @@
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import SystemClock
 from nutmegdrum_relay.document_cache import FILE
+from nutmegdrum_relay.replica_log import replica_vm
 from nutmegdrum_relay.settings import Listen, Place, RelayRole, RelaySettings
-from nutmegdrum_relay.state_role import StatePeers, StateRole, replica_vm
+from nutmegdrum_relay.state_role import StatePeers, StateRole
 from nutmegdrum_relay.views import ControlView, EntryReport
 from nutmegdrum_testing.relay_dialect import PlainDialect
 from nutmegdrum_testing.waiting import wait_for
