Let a new replica find a leader that its settings do not name

Cause: only the leader admits members, and a newcomer greets the replicas of its settings. If the leader was a replacement itself and the settings named no more than followers, nobody admitted the newcomer, and the next loss would have cost the quorum. Ruled out: followers that pass arrivals on (another message to the leader for each greeting, where one name in the answer does).

The answer to a greeting names the leader, which the newcomer greets as well.

--- a/packages/coord/src/nutmegdrum_coord/joining.py
+++ b/packages/coord/src/nutmegdrum_coord/joining.py
@@ -57,8 +57,10 @@
         """Remember a peer's answer, or with `first_only` each peer's first one.
 
         The first one is newer than all that was acknowledged before the start; later ones
-        would only move the goal.
+        would only move the goal. A VM that the settings do not name does not count.
         """
+        if reply.sender.vm not in self._vms:
+            return
         self._newest[reply.sender.vm] = reply.sender
         if not first_only:
             self._answers.pop(reply.sender.vm, None)
--- a/packages/coord/src/nutmegdrum_coord/logcore.py
+++ b/packages/coord/src/nutmegdrum_coord/logcore.py
@@ -90,6 +90,7 @@
         self._leadership: Leadership | None = None
         self._next_hello_ms = now_ms
         self._caught_up_ms: int | None = None
+        self._told_leader: VmId | None = None
         self._handlers: dict[type, Callable[[int, Any], None]] = {
             VoteRequest: self._on_vote_request,
             VoteReply: self._on_vote_reply,
@@ -241,7 +242,8 @@
         if now_ms < self._next_hello_ms or (admitted and self._joining.confirmed):
             return
         self._next_hello_ms = now_ms + self._timing.heartbeat_ms
-        for vm in sorted(self._vms - {self.identity.vm}):
+        greeted = self._vms if self._told_leader is None else self._vms | {self._told_leader}
+        for vm in sorted(greeted - {self.identity.vm}):
             self.state.send_vm(
                 vm, ANY_INCARNATION, Hello, last=self.state.entries.last, nonce=self._joining.nonce
             )
@@ -400,6 +402,7 @@
             last=self.state.entries.last,
             acknowledged=acknowledged,
             new=self._joining.new,
+            leader=self.leader.vm if self.leader is not None else VmId(""),
         )
 
     def _offer_form_to(self, member: Member) -> None:
@@ -413,6 +416,7 @@
     def _on_hello_reply(self, now_ms: int, reply: HelloReply) -> None:
         if reply.nonce != self._joining.nonce:
             return
+        self._told_leader = reply.leader or self._told_leader
         if self._has_forgotten(reply):
             self.retired = True
             self._follow(now_ms, None)
--- a/packages/coord/src/nutmegdrum_coord/logmessages.py
+++ b/packages/coord/src/nutmegdrum_coord/logmessages.py
@@ -203,12 +203,15 @@
         Position up to which the replica has acknowledged entries to the peer, if that leads.
     new : bool
         Whether the peer has never held any state, so that it may take part in a first start.
+    leader : VmId
+        VM of the leader as far as the peer knows, which alone admits members; empty if unknown.
     """
 
     nonce: int
     last: LastEntry
     acknowledged: LogPosition
     new: bool
+    leader: VmId = VmId("")
 
 
 class Form(Message, frozen=True):
--- a/packages/coord/tests/test_log_safety.py
+++ b/packages/coord/tests/test_log_safety.py
@@ -8,6 +8,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from nutmegdrum_coord.ids import VmId
 from nutmegdrum_coord.logmessages import AppendReply, AppendRequest, decode_message, encode_message
 from nutmegdrum_testing.lognet import HEARTBEAT_MS, STEP_MS, VMS, Disk, Net
 
@@ -176,10 +177,37 @@
         assert net.vms[behind].applied == net.truth.last
 
 
+def replace(net, lost, newcomer):
+    """Lose one VM for good, and wait until a newcomer votes in its place."""
+    net.vms[lost].lose_disk()
+    net.vms[newcomer].start()
+    leader = net.serving()
+    members = leader.core.members.voters
+    leader.core.set_vms({m.vm for m in members if m.vm != lost} | {newcomer})
+    net.run(3_000)
+    assert newcomer in {m.vm for m in net.serving().core.members.voters}
+
+
 def sent_to(net, vm):
     return [decode_message(data) for to, data in net.flying if to == vm]
 
 
+class TestNewcomer:
+    def test_finds_a_leader_that_its_settings_do_not_name(self):
+        spare, newcomer = VmId("d"), VmId("e")
+        net = Net(1, [spare, newcomer])
+        net.run(3_000)
+        replace(net, followers(net)[0], spare)
+        while net.serving().name != spare:
+            leader = net.serving()
+            leader.core = None
+            net.run(3_000)
+            leader.start()
+            net.run(1_000)
+        voters = {m.vm for m in net.serving().core.members.voters}
+        replace(net, min(voters - {spare}), newcomer)
+
+
 class TestCaughtUp:
     """Time up to which a follower has all that was committed."""
 
--- a/packages/testing/src/nutmegdrum_testing/lognet.py
+++ b/packages/testing/src/nutmegdrum_testing/lognet.py
@@ -34,7 +34,7 @@
 KEEP = 2
 CHUNKS = 3
 MAX_FLYING = 1_000
-DRIFT = {VmId("a"): 1.01, VmId("b"): 0.99, VmId("c"): 1.0}
+DRIFT = {VmId("a"): 1.01, VmId("b"): 0.99}
 
 
 def chain(state, entry):
@@ -45,8 +45,9 @@
 class Disk:
     """What one VM has synced."""
 
-    def __init__(self, incarnation):
+    def __init__(self, incarnation, founds=True):
         self.incarnation = incarnation
+        self.founds = founds
         self.ballot = fx.Ballot()
         self.log = EntryList(Base())
         self.snapshot = Base()
@@ -61,7 +62,7 @@
             self.log = EntryList(self.snapshot)
             base = self.snapshot
         entries = self.log.between(base.position, self.log.last.position)
-        return fx.Saved(self.ballot, self.snapshot, base, list(entries), self.trusted, True)
+        return fx.Saved(self.ballot, self.snapshot, base, list(entries), self.trusted, self.founds)
 
 
 class Truth:
@@ -87,28 +88,33 @@
 
 
 class Vm:
-    """One VM: its clock, disk and running core."""
+    """One VM: its clock, disk and running core.
+
+    One of `VMS` may found the cluster; any other waits to be started and admitted.
+    """
 
     def __init__(self, net, name):
         self.net = net
         self.name = name
+        self.founds = name in VMS
         self.lives = 0
         self.copies = []
         self.core = None
         self.paused = False
         self.waiting = []
         self.lose_disk()
-        self.start()
+        if self.founds:
+            self.start()
 
     def now(self):
         """Return the VM's own elapsed time in ms, with its drift."""
-        return int(self.net.now_ms * DRIFT[self.name]) + START_MS
+        return int(self.net.now_ms * DRIFT.get(self.name, 1.0)) + START_MS
 
     def lose_disk(self):
         """Replace the disk by an empty one, of a new incarnation."""
         self.lives += 1
         self.core = None
-        self.disk = Disk(IncarnationId(f"{self.name}{self.lives}"))
+        self.disk = Disk(IncarnationId(f"{self.name}{self.lives}"), self.founds)
 
     def start(self):
         """Start a core on the disk as it is."""
@@ -116,7 +122,7 @@
         timing = LogTiming(HEARTBEAT_MS, ELECTION_TIMEOUT_MS, NEVER_MS)
         rng = self.net.rng
         saved = self.disk.saved()
-        self.core = LogCore(member, VMS, timing, rng, saved, self.now())
+        self.core = LogCore(member, [*VMS, self.name], timing, rng, saved, self.now())
         self.applied = saved.snapshot.position
         self.state = self.disk.data[: len(self.disk.data) // CHUNKS]
         self.paused = False
@@ -251,7 +257,7 @@
         caught_up_ms = None if self.core is None else self.core.caught_up_ms
         if caught_up_ms is None:
             return
-        upto_ms = (caught_up_ms - START_MS) / DRIFT[self.name]
+        upto_ms = (caught_up_ms - START_MS) / DRIFT.get(self.name, 1.0)
         committed = self.net.truth.committed_ms.items()
         due = max((position for position, ms in committed if ms < upto_ms), default=0)
         assert self.core.state.entries.last.position >= due
@@ -265,16 +271,22 @@
 
 
 class Net:
-    """VMs and the messages between them."""
+    """VMs and the messages between them.
+
+    Parameters
+    ----------
+    spares : sequence of VmId
+        VMs beside `VMS` that can be started later.
+    """
 
-    def __init__(self, seed):
+    def __init__(self, seed, spares=()):
         self.rng = random.Random(seed)
         self.now_ms = 0
         self.retired = 0
         self.truth = Truth()
         self.flying = []
         self.cuts = set()
-        self.vms = {name: Vm(self, name) for name in VMS}
+        self.vms = {name: Vm(self, name) for name in (*VMS, *spares)}
 
     def post(self, sender, to, data):
         """Put a message on its way."""
@@ -285,7 +297,7 @@
         """Let time pass for all, with messages lost, doubled or crossed."""
         for _ in range(ms // STEP_MS):
             self.now_ms += STEP_MS
-            for name in self.rng.sample(VMS, len(VMS)):
+            for name in self.rng.sample(list(self.vms), len(self.vms)):
                 self.vms[name].turn()
             self.deliver(loss, twice, crossed)
             self.check()
