--- a/packages/kernel/src/nutmegdrum/claimclient.py
+++ b/packages/kernel/src/nutmegdrum/claimclient.py
@@ -33,6 +33,7 @@
     Verdict,
 )
 
+from nutmegdrum.queries import ClaimKnown
 from nutmegdrum.sent_keys import KeyMemory
 
 NO_QUORUM_RETRY_MS = 1_000
@@ -76,20 +77,6 @@
     resendable: bool = True
 
 
-class ReplicaAnswer(NamedTuple):
-    """What one state replica knows of a request.
-
-    Attributes
-    ----------
-    age_ms : int or None
-        What was committed before this time has reached the replica, in ms before its answer; None
-        if it can't tell.
-    """
-
-    answer: ClaimAnswer
-    age_ms: int | None
-
-
 class ClaimCall:
     """State machine of one request at the VM that received it.
 
@@ -153,7 +140,7 @@
         self.state = CallState.ENDED
         raise _refusal(answer)
 
-    def on_replicas(self, replicas: Sequence[ReplicaAnswer]) -> NextStep | None:
+    def on_replicas(self, replicas: Sequence[ClaimKnown]) -> NextStep | None:
         """Take what replicas know of the request after a failed proposal.
 
         Returns
@@ -179,7 +166,7 @@
 
     def on_entry_vms(
         self,
-        replicas: Sequence[ReplicaAnswer],
+        replicas: Sequence[ClaimKnown],
         memories: Sequence[KeyMemory | None],
         took_ms: int,
     ) -> Refusal:
--- a/packages/kernel/src/nutmegdrum/claimed_calls.py
+++ b/packages/kernel/src/nutmegdrum/claimed_calls.py
@@ -33,7 +33,6 @@
     ClaimCall,
     ClaimIdentity,
     NextStep,
-    ReplicaAnswer,
     dispatch_expired,
     no_quorum,
 )
@@ -41,6 +40,7 @@
 from nutmegdrum.logs import log_change
 from nutmegdrum.messages import BackendLost
 from nutmegdrum.plain_http import PlainCall, PlainReply, PlainSender, SendForbidden
+from nutmegdrum.queries import ClaimKnown
 from nutmegdrum.routing_query import Choice, RouteQuery, Routing
 from nutmegdrum.sent_keys import KeyMemory, SentKeys
 from nutmegdrum.settings import Settings
@@ -70,7 +70,7 @@
     owner: VmId
     incarnation: IncarnationId
     propose: Callable[[Command], ClaimAnswer]
-    look_up: Callable[[BeginClaim], list[ReplicaAnswer]]
+    look_up: Callable[[BeginClaim], list[ClaimKnown]]
     ask_entry_vms: Callable[[ClaimKey], list[KeyMemory | None]]
 
 
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -11,7 +11,6 @@
 from nutmegdrum.admission import Admission, new_control
 from nutmegdrum.cache_poller import POLL_MS as CACHE_POLL_MS
 from nutmegdrum.cache_poller import CachePoller
-from nutmegdrum.claimclient import ReplicaAnswer
 from nutmegdrum.claimed_calls import ClaimWriter
 from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.entry_peers import EntryPeers
@@ -20,7 +19,7 @@
 from nutmegdrum.heartbeat import Heartbeater
 from nutmegdrum.plain import PlainPath
 from nutmegdrum.plugins import Event, Kind, Registry
-from nutmegdrum.queries import ClaimQuery, decode_query_answer, encode_query
+from nutmegdrum.queries import ClaimKnown, ClaimQuery, decode_query_answer, encode_query
 from nutmegdrum.retries import RetryBudget
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import RpcClient
@@ -139,11 +138,10 @@
         encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
         return decode_answer(self.state.propose(encoded, CLAIM_TIMEOUT_MS), ClaimAnswer)
 
-    def _look_up_claim(self, begin: BeginClaim) -> list[ReplicaAnswer]:
+    def _look_up_claim(self, begin: BeginClaim) -> list[ClaimKnown]:
         query = ClaimQuery(key=begin.key, digest=begin.digest, token=begin.token)
-        encoded = self.state.read_any(encode_query(query), LOOK_UP_TIMEOUT_MS)
-        known = [decode_query_answer(answer) for answer in encoded]
-        return [ReplicaAnswer(each.answer, each.age_ms) for each in known]
+        answers = self.state.read_any(encode_query(query), LOOK_UP_TIMEOUT_MS)
+        return [decode_query_answer(answer) for answer in answers]
 
     def _propose_suspicion(self, command: Command) -> QuarantineAnswer:
         encoded = encode_command(command, who=self.cfg.vm.id, wall_ms=self.clock.wall_ms())
--- a/packages/kernel/src/nutmegdrum/entry_peers.py
+++ b/packages/kernel/src/nutmegdrum/entry_peers.py
@@ -16,8 +16,8 @@
 from nutmegdrum.view import View
 
 PEER_TIMEOUT_MS = 500
-MS_PER_S = 1_000
 _TELL_THREADS = 4
+_MS_PER_S = 1_000
 
 NEWEST = (1 << 63) - 1
 """Generation of a digest that asks for no view."""
@@ -85,7 +85,7 @@
         """Return what each other entry VM remembers of `key`; None for one that does not answer."""
         digest = GossipDigest(NEWEST, key=key)
         futs = [self._pool.submit(self._exchange, peer, digest) for peer in self._peers]
-        wait(futs, PEER_TIMEOUT_MS / MS_PER_S)
+        wait(futs, PEER_TIMEOUT_MS / _MS_PER_S)
         answers = [fut.result() if fut.done() else None for fut in futs]
         for fut in futs:
             fut.cancel()
--- a/packages/kernel/tests/test_plain.py
+++ b/packages/kernel/tests/test_plain.py
@@ -1,7 +1,6 @@
 import random
 
 import pytest
-from nutmegdrum.claimclient import ReplicaAnswer
 from nutmegdrum.claimed_calls import ClaimWriter
 from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.guarded_routing import GuardedRouting
@@ -9,6 +8,7 @@
 from nutmegdrum.plain import PlainPath
 from nutmegdrum.plain_http import PlainReply, SendForbidden
 from nutmegdrum.plugins import Registry
+from nutmegdrum.queries import ClaimKnown
 from nutmegdrum.routing import Router
 from nutmegdrum.settings import Settings, parse_settings
 from nutmegdrum_coord.claims import Claims
@@ -53,7 +53,8 @@
     def look_up(self, begin):
         if not self.readable:
             return []
-        return [ReplicaAnswer(self.claims.look_up(begin.key, begin.digest), self.age_ms)]
+        answer = self.claims.look_up(begin.key, begin.digest)
+        return [ClaimKnown(answer=answer, age_ms=self.age_ms)]
 
     def propose(self, command):
         answer = None
