Answer 404 to a completion for a model that does not exist

Cause: routing had one reason for an unknown model and for a service without backend servers, so clients of completion APIs got 503 and came back in vain. A model is said not to exist only while this VM's view is fresh, as a note may just have added it; otherwise the answer stays 503 with when to come back. Ruled out: a check at the gateway against the settings (models come by notes).

--- a/packages/kernel/src/nutmegdrum/routing.py
+++ b/packages/kernel/src/nutmegdrum/routing.py
@@ -8,7 +8,7 @@
 
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import BackendId, ModelName, VersionName, VmId
-from nutmegdrum_coord.verdict import NO_BACKEND, OVERLOADED, Reason
+from nutmegdrum_coord.verdict import NO_BACKEND, NOT_FOUND, OVERLOADED, Reason
 
 from nutmegdrum.backend_state import BackendState
 from nutmegdrum.balancing import Balancer, Candidate, SampledBalancer
@@ -58,6 +58,8 @@
         self._clock = clock
         self._rng = rng
         self._vm = cfg.vm.id
+        self._services = frozenset(service.name for service in cfg.services)
+        self._lease_ms = int(cfg.control.freshness_lease)
         self._balancer = _balancer(registry)
         self._fencing = {b.id: b.checks_fencing for b in cfg.backend_servers}
         self._lock = threading.Lock()
@@ -103,7 +105,7 @@
 
         New work goes to the trial only while its grant lasts and its share allows, and the settled
         version's work never goes there instead. `OVERLOADED` says that another suspect's attempt
-        must end first.
+        must end first, `NOT_FOUND` that there is no such model.
         """
         with self._lock:
             version = query.version or self._pick_version(query)
@@ -197,7 +199,7 @@
     def _pick_version(self, query: RouteQuery) -> VersionName | Reason:
         model = self._models.get(query.model)
         if model is None:
-            return VersionName("") if query.model in self._backends else NO_BACKEND
+            return VersionName("") if query.model in self._backends else self._why_no_model(query)
         settled = self._eligible(query, model.settled)
         trial = self._granted_trial(model)
         if trial is None:
@@ -209,6 +211,11 @@
         share.routed(trial.share_ppm, to_trial)
         return trial.version if to_trial else model.settled
 
+    def _why_no_model(self, query: RouteQuery) -> Reason:
+        """Say that the model does not exist only while the view is fresh: it may be a new one."""
+        fresh = self._clock.elapsed_ms() < self._granted_ms + self._lease_ms
+        return NO_BACKEND if query.model in self._services or not fresh else NOT_FOUND
+
     def _granted_trial(self, model: ModelView) -> TrialView | None:
         trial = model.trial
         if trial is None or not self._allows(model.name, trial.version):
--- a/packages/kernel/src/nutmegdrum/starts.py
+++ b/packages/kernel/src/nutmegdrum/starts.py
@@ -2,6 +2,7 @@
 
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import Clock, ElapsedMs
+from nutmegdrum_coord.ids import ModelName
 
 from nutmegdrum import metrics
 from nutmegdrum.attempts import Attempts
@@ -123,7 +124,7 @@
             if not isinstance(choice, v.Reason):
                 return query.isolated, choice
             if not recovers:
-                raise v.Refusal(choice, v.Verdict.NOT_RUN, RETRY_AFTER_MS)
+                raise _refusal(choice, query.model)
             if left <= 0:
                 raise _given_up(choice)
             if session.ended:
@@ -132,5 +133,11 @@
             self._sleep(CHOOSE_POLL_MS / _MS_PER_S)
 
 
+def _refusal(why: v.Reason, model: ModelName) -> v.Refusal:
+    if why is v.NOT_FOUND:
+        return v.Refusal(why, v.Verdict.NOT_RUN, detail=f"no model {model}")
+    return v.Refusal(why, v.Verdict.NOT_RUN, RETRY_AFTER_MS)
+
+
 def _given_up(why: v.Reason) -> v.Refusal:
     return v.Refusal(why, v.Verdict.MAY_HAVE_RUN, RETRY_AFTER_MS)
