Never let a reader get a stream's finish before its last token

Ruled out: the engine's own end (its count is checked) and the caller's reader. Once the finish is held, readers get all tokens that it counts.

Traffic raises its threads' exceptions at the end of its block, which had been lost.

--- a/packages/kernel/src/nutmegdrum/session.py
+++ b/packages/kernel/src/nutmegdrum/session.py
@@ -159,11 +159,17 @@
         return covers(self.lineage, self.released, position)
 
     def batch(self, first_index: int) -> Batch:
-        """Return what readers may get from `first_index` on."""
-        texts = self.stream.tokens[first_index : self.released]
+        """Return what readers may get from `first_index` on.
+
+        Once the finish is held, so are all tokens before it; `released` may still lag, as other
+        threads set the two one after the other.
+        """
+        finish = self.stream.finish if self.done else None
+        upto = self.released if finish is None else finish.count
+        texts = self.stream.tokens[first_index:upto]
         items: Batch = [Token(index, text) for index, text in enumerate(texts, first_index)]
-        if self.done and self.stream.finish is not None:
-            items.append(self.stream.finish)
+        if finish is not None:
+            items.append(finish)
         return items
 
 
--- a/packages/testing/src/nutmegdrum_testing/traffic.py
+++ b/packages/testing/src/nutmegdrum_testing/traffic.py
@@ -16,11 +16,17 @@
         Number of answers by how they ended.
     problems : list
         What was said of the answers that did not end well.
+
+    Raises
+    ------
+    AssertionError
+        At the block's end, if an answer that ended well was not whole.
     """
 
     def __init__(self, caller: Caller, model: str, threads: int = 6, tokens: int = 3):
         self.ended: Counter[str] = Counter()
         self.problems: list[object] = []
+        self._broken: list[AssertionError] = []
         self._caller = caller
         self._model = model
         self._tokens = tokens
@@ -40,6 +46,8 @@
         self._stopping.set()
         for thread in self._threads:
             thread.join()
+        if self._broken:
+            raise self._broken[0]
 
     def _run(self, index: int) -> None:
         entry = index % len(self._caller.addresses)
@@ -47,7 +55,10 @@
             prompt = f"question {next(self._numbers)}"
             result = self._caller.generate(self._model, prompt, self._tokens, entry=entry)
             self.ended[result.ended] += 1
-            if result.ended == "done":
-                result.check(self._tokens)
-            else:
+            if result.ended != "done":
                 self.problems.append(result.problem)
+                continue
+            try:
+                result.check(self._tokens)
+            except AssertionError as exc:
+                self._broken.append(exc)
