Give a recovery whose model was withdrawn the reason it had before

Cause: since routing tells an unknown model apart (404), a request that had begun and whose model was withdrawn before its first token was given up as `not-found` with `may-have-run`, and its own exclusions were never lifted, as only `no-backend` counts for that. Ruled out: telling the two apart in routing (it does not know whether a request has begun). Before: the new test of a recovery failed; after: it passes, and a first attempt is still `not-found`.

--- a/packages/kernel/src/nutmegdrum/starts.py
+++ b/packages/kernel/src/nutmegdrum/starts.py
@@ -125,6 +125,9 @@
                 return query.isolated, choice
             if not recovers:
                 raise _refusal(choice, query.model)
+            if choice is v.NOT_FOUND:
+                # The model was withdrawn while the request ran, which it may have done to its end.
+                choice = v.NO_BACKEND
             if left <= 0:
                 raise _given_up(choice)
             if session.ended:
