Enter and leave a joinable call in one place

Cause: _run repeated the five parameters of _dispatch only to wrap it. A context manager does the same without them. Behaviour unchanged: tests of plain calls and claims pass before and after.

--- a/packages/kernel/src/nutmegdrum/claimed_calls.py
+++ b/packages/kernel/src/nutmegdrum/claimed_calls.py
@@ -2,7 +2,8 @@
 
 import secrets
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -124,7 +125,8 @@
             metrics.CLAIMS.labels(step.value).inc()
             if step is NextStep.REPLAY:
                 return _replayed(claim.outcome)
-            return self._run(claim, identity.key, query, call, fingerprint)
+            with self._joinable(identity.key):
+                return self._dispatch(claim, identity.key, query, call, fingerprint)
         finally:
             self._keys.end(identity.key)
 
@@ -190,19 +192,14 @@
         took_ms = self._clock.elapsed_ms() - asked_ms
         raise claim.on_entry_vms(replicas, [own, *memories], took_ms)
 
-    def _run(
-        self,
-        claim: ClaimCall,
-        key: ClaimKey,
-        query: RouteQuery,
-        call: PlainCall,
-        fingerprint: Fingerprint,
-    ) -> PlainReply:
+    @contextmanager
+    def _joinable(self, key: ClaimKey) -> Iterator[None]:
+        """Let resends that come to this VM wait for the call's end."""
         done = threading.Event()
         with self._lock:
             self._running[key] = done
         try:
-            return self._dispatch(claim, key, query, call, fingerprint)
+            yield
         finally:
             with self._lock:
                 self._running.pop(key, None)
