Read settings files in one place

Cause: the relay's settings repeated how the kernel reads a file, decodes it and names the path in an error. Both use read_settings and decode_settings of the kernel now. Behaviour unchanged: tests of both settings, of the command line and of the reference pages pass before and after.

--- a/packages/kernel/src/nutmegdrum/settings.py
+++ b/packages/kernel/src/nutmegdrum/settings.py
@@ -1,8 +1,9 @@
 """Settings of one daemon: typed, checked as a whole before anything starts."""
 
+from collections.abc import Callable
 from enum import Enum
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 from nutmegdrum_coord.ids import (
@@ -20,6 +21,8 @@
 from nutmegdrum.errors import UserError
 from nutmegdrum.units import Address, Duration, Size, decode_hook
 
+_Parsed = TypeVar("_Parsed")
+
 _KIB = 1 << 10
 _MIB = 1 << 20
 
@@ -228,14 +231,27 @@
         If the file cannot be read, or a value is wrong; the message names the key's path
         and what was expected there.
     """
+    return read_settings(path, parse_settings)
+
+
+def read_settings(path: Path, parse: Callable[[bytes], _Parsed]) -> _Parsed:
+    """Read the file at `path` and return what `parse` makes of it; errors name the file."""
     try:
-        return parse_settings(path.read_bytes())
+        return parse(path.read_bytes())
     except OSError as exc:
         raise UserError(f"{path}: {exc.strerror}") from None
     except UserError as exc:
         raise UserError(f"{path}: {exc}") from None
 
 
+def decode_settings(data: bytes, model: type[_Parsed]) -> _Parsed:
+    """Decode settings of one type; an error names the key's path."""
+    try:
+        return msgspec.json.decode(data, type=model, dec_hook=decode_hook)
+    except msgspec.MsgspecError as exc:
+        raise UserError(str(exc)) from None
+
+
 def parse_settings(data: bytes) -> Settings:
     """Decode and check settings.
 
@@ -244,10 +260,7 @@
     UserError
         As for `load_settings`.
     """
-    try:
-        cfg = msgspec.json.decode(data, type=Settings, dec_hook=decode_hook)
-    except msgspec.MsgspecError as exc:
-        raise UserError(str(exc)) from None
+    cfg = decode_settings(data, Settings)
     _check_roles(cfg)
     _check_unique(cfg)
     _check_references(cfg)
--- a/packages/relay/src/nutmegdrum_relay/settings.py
+++ b/packages/relay/src/nutmegdrum_relay/settings.py
@@ -5,8 +5,8 @@
 
 import msgspec
 from nutmegdrum.errors import UserError
-from nutmegdrum.settings import ControlSettings
-from nutmegdrum.units import Address, Duration, decode_hook
+from nutmegdrum.settings import ControlSettings, decode_settings, read_settings
+from nutmegdrum.units import Address, Duration
 from nutmegdrum_coord.ids import DataCentre, DeploymentId, Region
 
 
@@ -113,12 +113,7 @@
     UserError
         If the file cannot be read, or a value is wrong; the message names the key's path.
     """
-    try:
-        return parse_relay_settings(path.read_bytes())
-    except OSError as exc:
-        raise UserError(f"{path}: {exc.strerror}") from None
-    except UserError as exc:
-        raise UserError(f"{path}: {exc}") from None
+    return read_settings(path, parse_relay_settings)
 
 
 def parse_relay_settings(data: bytes) -> RelaySettings:
@@ -129,10 +124,7 @@
     UserError
         As for `load_relay_settings`.
     """
-    try:
-        cfg = msgspec.json.decode(data, type=RelaySettings, dec_hook=decode_hook)
-    except msgspec.MsgspecError as exc:
-        raise UserError(str(exc)) from None
+    cfg = decode_settings(data, RelaySettings)
     if cfg.role is RelayRole.ENTRY:
         _require(cfg.listen.callers, "listen.callers")
         _require(cfg.listen.readiness, "listen.readiness")
