Decode the JSON that people write in one place

Cause: settings of both daemons, release notes and routing documents each repeated how JSON is decoded and its error told, and the note command how a file is read. Left as they are: the relay's command line, whose message for a missing file is its own, and messages between processes (packing). Behaviour unchanged: tests of settings, notes, documents, both command lines and the platform pass.

--- a/packages/kernel/src/nutmegdrum/cli.py
+++ b/packages/kernel/src/nutmegdrum/cli.py
@@ -12,6 +12,7 @@
 import msgspec
 from nutmegdrum_coord.clock import WallMs
 
+from nutmegdrum.checked_json import read_file
 from nutmegdrum.errors import UserError
 from nutmegdrum.notes import wall_ms
 from nutmegdrum.operators import OperatorsClient
@@ -96,10 +97,7 @@
 
     def __call__(self) -> None:
         """Send the note; a conflict or a mistake in it sets the exit code."""
-        try:
-            note = self.file.read_bytes()
-        except OSError as exc:
-            raise UserError(f"{self.file}: {exc.strerror}") from None
+        note = read_file(self.file, bytes)
         client = OperatorsClient(load_settings(self.settings))
         answer = client.submit(self.command_id, self.operator, note)
         _print(answer, self.json)
--- a/packages/kernel/src/nutmegdrum/notes.py
+++ b/packages/kernel/src/nutmegdrum/notes.py
@@ -15,6 +15,7 @@
     VersionName,
 )
 
+from nutmegdrum.checked_json import decode_json
 from nutmegdrum.errors import UserError
 from nutmegdrum.units import Duration, decode_hook
 from nutmegdrum.view import PPM
@@ -135,10 +136,7 @@
     UserError
         If the document is not valid; the message names the key's path.
     """
-    try:
-        note = msgspec.json.decode(data, type=ReleaseNote, dec_hook=_decode_hook)
-    except msgspec.MsgspecError as exc:
-        raise UserError(str(exc)) from None
+    note = decode_json(data, ReleaseNote, _decode_hook)
     problem = check_note(note)
     if problem is not None:
         raise UserError(str(problem))
--- a/packages/kernel/src/nutmegdrum/settings.py
+++ b/packages/kernel/src/nutmegdrum/settings.py
@@ -1,9 +1,8 @@
 """Settings of one daemon: typed, checked as a whole before anything starts."""
 
-from collections.abc import Callable
 from enum import Enum
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any
 
 import msgspec
 from nutmegdrum_coord.ids import (
@@ -18,10 +17,9 @@
     WorkspaceId,
 )
 
+from nutmegdrum.checked_json import decode_json, read_file
 from nutmegdrum.errors import UserError
-from nutmegdrum.units import Address, Duration, Size, decode_hook
-
-_Parsed = TypeVar("_Parsed")
+from nutmegdrum.units import Address, Duration, Size
 
 _KIB = 1 << 10
 _MIB = 1 << 20
@@ -231,25 +229,7 @@
         If the file cannot be read, or a value is wrong; the message names the key's path
         and what was expected there.
     """
-    return read_settings(path, parse_settings)
-
-
-def read_settings(path: Path, parse: Callable[[bytes], _Parsed]) -> _Parsed:
-    """Read the file at `path` and return what `parse` makes of it; errors name the file."""
-    try:
-        return parse(path.read_bytes())
-    except OSError as exc:
-        raise UserError(f"{path}: {exc.strerror}") from None
-    except UserError as exc:
-        raise UserError(f"{path}: {exc}") from None
-
-
-def decode_settings(data: bytes, model: type[_Parsed]) -> _Parsed:
-    """Decode settings of one type; an error names the key's path."""
-    try:
-        return msgspec.json.decode(data, type=model, dec_hook=decode_hook)
-    except msgspec.MsgspecError as exc:
-        raise UserError(str(exc)) from None
+    return read_file(path, parse_settings)
 
 
 def parse_settings(data: bytes) -> Settings:
@@ -260,7 +240,7 @@
     UserError
         As for `load_settings`.
     """
-    cfg = decode_settings(data, Settings)
+    cfg = decode_json(data, Settings)
     _check_roles(cfg)
     _check_unique(cfg)
     _check_references(cfg)
--- a/packages/relay/src/nutmegdrum_relay/cli.py
+++ b/packages/relay/src/nutmegdrum_relay/cli.py
@@ -110,7 +110,5 @@
     """Run a command; the entry point of `nutmegdrum-relay`."""
     try:
         cappa.invoke(Arguments)
-    except UserError as exc:
-        sys.exit(f"nutmegdrum-relay: {exc}")
-    except OSError as exc:
+    except (UserError, OSError) as exc:
         sys.exit(f"nutmegdrum-relay: {exc}")
--- a/packages/relay/src/nutmegdrum_relay/documents.py
+++ b/packages/relay/src/nutmegdrum_relay/documents.py
@@ -4,8 +4,9 @@
 from typing import NewType
 
 import msgspec
+from nutmegdrum.checked_json import decode_json
 from nutmegdrum.errors import UserError
-from nutmegdrum.units import Duration, Size, decode_hook, encode_hook
+from nutmegdrum.units import Duration, Size, encode_hook
 from nutmegdrum_coord.ids import ServiceName, WorkspaceId
 
 RouteName = NewType("RouteName", str)
@@ -200,9 +201,6 @@
         UserError
             If the source is no valid document.
         """
-        try:
-            document = msgspec.json.decode(source, type=RoutingDocument, dec_hook=decode_hook)
-        except msgspec.MsgspecError as exc:
-            raise UserError(str(exc)) from None
+        document = decode_json(source, RoutingDocument)
         check_document(document)
         return document
--- a/packages/relay/src/nutmegdrum_relay/settings.py
+++ b/packages/relay/src/nutmegdrum_relay/settings.py
@@ -4,8 +4,9 @@
 from pathlib import Path
 
 import msgspec
+from nutmegdrum.checked_json import decode_json, read_file
 from nutmegdrum.errors import UserError
-from nutmegdrum.settings import ControlSettings, decode_settings, read_settings
+from nutmegdrum.settings import ControlSettings
 from nutmegdrum.units import Address, Duration
 from nutmegdrum_coord.ids import DataCentre, DeploymentId, Region
 
@@ -113,7 +114,7 @@
     UserError
         If the file cannot be read, or a value is wrong; the message names the key's path.
     """
-    return read_settings(path, parse_relay_settings)
+    return read_file(path, parse_relay_settings)
 
 
 def parse_relay_settings(data: bytes) -> RelaySettings:
@@ -124,7 +125,7 @@
     UserError
         As for `load_relay_settings`.
     """
-    cfg = decode_settings(data, RelaySettings)
+    cfg = decode_json(data, RelaySettings)
     if cfg.role is RelayRole.ENTRY:
         _require(cfg.listen.callers, "listen.callers")
         _require(cfg.listen.readiness, "listen.readiness")
