Count a request's tries in one place for plain requests and streams

Cause: both relays counted attempts, kept the verdict, wrote the line of a lost attempt, worked out the time left and chose the reason of a refusal, each in its own copy. Tries, log_lost and Demanded.left do it for both.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -54,6 +54,10 @@
     _exchange: Exchange | None = None
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
+    def left(self, clock: Clock) -> Duration:
+        """Return the time until the deadline; negative after it."""
+        return Duration(self.deadline_ms - clock.elapsed_ms())
+
     def on_caller_gone(self) -> None:
         """Stop the work for a caller that closed its connection."""
         with self._lock:
@@ -69,6 +73,18 @@
                 exchange.abort()
 
 
+def log_lost(demanded: Demanded, backend: Backend, lost: Lost, **more: object) -> None:
+    """Write the line of an attempt that was lost."""
+    log_decision(
+        "attempt_lost",
+        request=demanded.terms.request_id,
+        backend=backend.id,
+        loss=lost.loss.value,
+        **more,
+        detail=str(lost),
+    )
+
+
 @dataclass(eq=False)
 class Attempt:
     """An attempt whose answer has begun."""
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -8,18 +8,11 @@
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import BackendId
 
-from nutmegdrum_relay.attempts import Attempts, Demanded, Lost
+from nutmegdrum_relay.attempts import Attempts, Demanded, Lost, log_lost
 from nutmegdrum_relay.callers import Call, CallerGone
-from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import Headers
 from nutmegdrum_relay.headers import answer_headers
-from nutmegdrum_relay.retry_policy import (
-    Loss,
-    Progress,
-    attempt_timeout,
-    come_back_after,
-    may_retry,
-)
+from nutmegdrum_relay.retry_policy import Loss, Tries, attempt_timeout, may_retry
 
 FAILED_STATUS = 500
 
@@ -63,16 +56,15 @@
     def _fetch(self, demanded: Demanded) -> Whole:
         self._budget.on_first_attempt()
         tried: list[BackendId] = []
-        sent = unsent = 0
-        verdict = v.Verdict.NOT_RUN
+        tries = Tries()
         failure: Whole | None = None
         while True:
             backend = self._attempts.choose(demanded, tried)
-            left = self._left(demanded)
+            left = demanded.left(self._clock)
             if backend is None or left <= 0:
-                return failure or self._give_up(demanded, verdict, left)
+                return failure or self._give_up(demanded, tries, left)
             tried.append(backend.id)
-            timeout = attempt_timeout(demanded.route, Progress(sent, unsent, left))
+            timeout = attempt_timeout(demanded.route, tries.progress(left))
             try:
                 whole = self._attempt(demanded, backend, timeout)
                 if whole.status < FAILED_STATUS:
@@ -80,22 +72,13 @@
                 failure, loss = whole, Loss.FAILED
             except Lost as lost:
                 loss = lost.loss
-                log_decision(
-                    "attempt_lost",
-                    request=demanded.terms.request_id,
-                    backend=backend.id,
-                    loss=loss.value,
-                    detail=str(lost),
-                )
+                log_lost(demanded, backend, lost)
             if demanded.gone:
                 raise CallerGone
-            sent += loss.taken
-            unsent += not loss.taken
-            if loss.verdict is not v.Verdict.NOT_RUN:
-                verdict = v.Verdict.MAY_HAVE_RUN
-            progress = Progress(sent, unsent, self._left(demanded))
+            tries.note(loss)
+            progress = tries.progress(demanded.left(self._clock))
             if not may_retry(demanded.route, loss, progress) or not self._may_spend(loss):
-                return failure or self._give_up(demanded, verdict, progress.left)
+                return failure or self._give_up(demanded, tries, progress.left)
 
     def _may_spend(self, loss: Loss) -> bool:
         return not loss.taken or self._budget.take(self._clock.elapsed_ms())
@@ -114,10 +97,5 @@
         finally:
             self._attempts.end(demanded, attempt, keep, failed)
 
-    def _left(self, demanded: Demanded) -> Duration:
-        return Duration(demanded.deadline_ms - self._clock.elapsed_ms())
-
-    def _give_up(self, demanded: Demanded, verdict: v.Verdict, left: Duration) -> Whole:
-        if verdict is v.Verdict.NOT_RUN:
-            raise v.Refusal(v.NO_BACKEND, verdict, int(come_back_after(demanded.route)))
-        raise v.Refusal(v.DEADLINE_UNREACHABLE if left <= 0 else v.OUTCOME_UNKNOWN, verdict)
+    def _give_up(self, demanded: Demanded, tries: Tries, left: Duration) -> Whole:
+        raise tries.refusal(demanded.route, left, v.OUTCOME_UNKNOWN)
--- a/packages/relay/src/nutmegdrum_relay/retry_policy.py
+++ b/packages/relay/src/nutmegdrum_relay/retry_policy.py
@@ -4,7 +4,13 @@
 from typing import NamedTuple
 
 from nutmegdrum.units import Duration
-from nutmegdrum_coord.verdict import Verdict
+from nutmegdrum_coord.verdict import (
+    DEADLINE_UNREACHABLE,
+    NO_BACKEND,
+    Reason,
+    Refusal,
+    Verdict,
+)
 
 from nutmegdrum_relay.documents import Route, RouteKind
 
@@ -59,6 +65,44 @@
     left: Duration
 
 
+class Tries:
+    """Attempts of one request that ended without an answer that can be passed on.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        Whether the request may have run.
+    """
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.unsent = 0
+        self.verdict = Verdict.NOT_RUN
+
+    def note(self, loss: Loss) -> None:
+        """Count an attempt."""
+        self.sent += loss.taken
+        self.unsent += not loss.taken
+        if loss.verdict is not Verdict.NOT_RUN:
+            self.verdict = Verdict.MAY_HAVE_RUN
+
+    def progress(self, left: Duration) -> Progress:
+        """Return what became of the request, with the time that is left."""
+        return Progress(self.sent, self.unsent, left)
+
+    def refusal(self, route: Route, left: Duration, lost: Reason) -> Refusal:
+        """Return the refusal of a request that is given up.
+
+        Parameters
+        ----------
+        lost : Reason
+            Why, if the request may have run and there is time left.
+        """
+        if self.verdict is Verdict.NOT_RUN:
+            return Refusal(NO_BACKEND, self.verdict, int(come_back_after(route)))
+        return Refusal(DEADLINE_UNREACHABLE if left <= 0 else lost, self.verdict)
+
+
 def may_retry(route: Route, loss: Loss, progress: Progress) -> bool:
     """Return whether a request may be sent to another backend server after a loss.
 
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -14,13 +14,13 @@
 from nutmegdrum_coord.ids import BackendId
 from prometheus_client import Counter
 
-from nutmegdrum_relay.attempts import Attempt, Attempts, Demanded, Lost
+from nutmegdrum_relay.attempts import Attempt, Attempts, Demanded, Lost, log_lost
 from nutmegdrum_relay.backends import Backend, Health
 from nutmegdrum_relay.callers import Call, CallerGone
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.headers import answer_headers
 from nutmegdrum_relay.plain_relay import FAILED_STATUS
-from nutmegdrum_relay.retry_policy import Loss, Progress, come_back_after, may_retry
+from nutmegdrum_relay.retry_policy import Loss, Tries, may_retry
 from nutmegdrum_relay.sse import Event, EventSplitter
 from nutmegdrum_relay.upstream import Broken
 
@@ -44,9 +44,7 @@
 
     last_event_id: str
     head_sent: bool = False
-    sent: int = 0
-    unsent: int = 0
-    verdict: v.Verdict = v.Verdict.NOT_RUN
+    tries: Tries = field(default_factory=Tries)
     tried: list[BackendId] = field(default_factory=list)
     copy: Backend | None = None
     last_loss: Loss = Loss.NOT_SENT
@@ -80,7 +78,7 @@
         self._budget.on_first_attempt()
         run = _Run(demanded.terms.last_event_id)
         while True:
-            left = self._left(demanded)
+            left = demanded.left(self._clock)
             backend, copy_at = self._next_engine(demanded, run)
             if backend is None or left <= 0:
                 return self._give_up(call, demanded, run, left)
@@ -91,7 +89,7 @@
             if demanded.gone:
                 raise CallerGone
             if not self._goes_on(demanded, run):
-                return self._give_up(call, demanded, run, self._left(demanded))
+                return self._give_up(call, demanded, run, demanded.left(self._clock))
 
     def _next_engine(self, demanded: Demanded, run: _Run) -> tuple[Backend | None, Backend | None]:
         """Return the engine for the next attempt, and the one whose copy it goes on from."""
@@ -123,7 +121,7 @@
             copy_at=copy_at,
             time_left=left,
         )
-        if run.sent or run.unsent:
+        if run.tries.sent or run.tries.unsent:
             RESUMED.labels(str(copy_at is not None).lower()).inc()
         whole = failed = False
         try:
@@ -149,7 +147,7 @@
             for piece in attempt.exchange.chunks(EVENT_TIMEOUT):
                 self._attempts.on_heard(attempt)
                 self._write(call, run, splitter.feed(piece))
-                if self._left(demanded) <= 0:
+                if demanded.left(self._clock) <= 0:
                     raise Lost(Loss.SILENT, "the deadline passed")
         except TimeoutError as exc:
             raise Lost(Loss.SILENT, "no event in time") from exc
@@ -169,23 +167,15 @@
 
     def _forward_failure(self, call: Call, demanded: Demanded, run: _Run, attempt: Attempt) -> int:
         body = self._attempts.read_whole(attempt, EVENT_TIMEOUT)
-        may_go_on = run.sent + 1 < demanded.route.max_attempts and demanded.route.resumable
+        may_go_on = run.tries.sent + 1 < demanded.route.max_attempts and demanded.route.resumable
         if run.head_sent or (attempt.answer.status >= FAILED_STATUS and may_go_on):
             raise Lost(Loss.FAILED, f"status {attempt.answer.status}")
         call.answer(attempt.answer.status, answer_headers(attempt.answer.headers), body)
         return attempt.answer.status
 
     def _note(self, demanded: Demanded, run: _Run, backend: Backend, lost: Lost) -> None:
-        log_decision(
-            "attempt_lost",
-            request=demanded.terms.request_id,
-            backend=backend.id,
-            loss=lost.loss.value,
-            last_event=run.last_event_id,
-            detail=str(lost),
-        )
-        run.sent += lost.loss.taken
-        run.unsent += not lost.loss.taken
+        log_lost(demanded, backend, lost, last_event=run.last_event_id)
+        run.tries.note(lost.loss)
         run.last_loss = lost.loss
         if lost.loss.verdict is v.Verdict.NOT_RUN:
             run.copy = None
@@ -193,30 +183,24 @@
                 # It has no copy, and may take the request without one.
                 run.tried.remove(backend.id)
             return
-        run.verdict = v.Verdict.MAY_HAVE_RUN
         self._budget.on_recovery(self._clock.elapsed_ms())
 
     def _goes_on(self, demanded: Demanded, run: _Run) -> bool:
-        progress = Progress(run.sent, run.unsent, self._left(demanded))
+        progress = run.tries.progress(demanded.left(self._clock))
         return may_retry(demanded.route, run.last_loss, progress)
 
-    def _left(self, demanded: Demanded) -> Duration:
-        return Duration(demanded.deadline_ms - self._clock.elapsed_ms())
-
     def _give_up(self, call: Call, demanded: Demanded, run: _Run, left: Duration) -> int:
         if run.head_sent:
             BROKEN_OFF.inc()
             log_decision(
                 "stream_broken_off",
                 request=demanded.terms.request_id,
-                attempts=run.sent,
+                attempts=run.tries.sent,
                 last_event=run.last_event_id,
                 time_left_ms=int(left),
             )
             raise CallerGone
-        if run.verdict is v.Verdict.NOT_RUN:
-            raise v.Refusal(v.NO_BACKEND, run.verdict, int(come_back_after(demanded.route)))
-        raise v.Refusal(v.DEADLINE_UNREACHABLE if left <= 0 else v.BACKEND_LOST, run.verdict)
+        raise run.tries.refusal(demanded.route, left, v.BACKEND_LOST)
 
 
 def _follows(event_id: str, last_id: str) -> bool:
--- a/packages/relay/tests/test_retry_policy.py
+++ b/packages/relay/tests/test_retry_policy.py
@@ -1,11 +1,12 @@
 import pytest
 from nutmegdrum.units import Duration
-from nutmegdrum_coord.verdict import Verdict
+from nutmegdrum_coord.verdict import BACKEND_LOST, DEADLINE_UNREACHABLE, NO_BACKEND, Verdict
 from nutmegdrum_relay.documents import RouteKind
 from nutmegdrum_relay.retry_policy import (
     MAX_UNSENT_ATTEMPTS,
     Loss,
     Progress,
+    Tries,
     attempt_timeout,
     come_back_after,
     may_retry,
@@ -64,3 +65,28 @@
     def test_refused_callers_come_back_within_a_second(self):
         assert come_back_after(route(RouteKind.IDEMPOTENT)) == 200
         assert come_back_after(route(RouteKind.STREAM, latency_objective=Duration(4_500))) == 1_000
+
+
+class TestTries:
+    LEFT = Duration(1_000)
+
+    def refusal(self, *losses, left=LEFT):
+        tries = Tries()
+        for loss in losses:
+            tries.note(loss)
+        refusal = tries.refusal(route(RouteKind.STREAM), left, BACKEND_LOST)
+        return refusal.why, refusal.verdict
+
+    def test_counts_what_reached_a_backend_server(self):
+        tries = Tries()
+        for loss in Loss:
+            tries.note(loss)
+        assert tries.progress(self.LEFT) == Progress(4, 2, self.LEFT)
+
+    def test_is_not_run_until_one_attempt_may_have_run(self):
+        assert self.refusal(Loss.NOT_SENT, Loss.NOT_RUN) == (NO_BACKEND, Verdict.NOT_RUN)
+        assert self.refusal(Loss.SILENT, Loss.NOT_SENT) == (BACKEND_LOST, Verdict.MAY_HAVE_RUN)
+
+    def test_names_the_deadline_once_it_has_passed(self):
+        late = self.refusal(Loss.BROKEN, left=Duration(0))
+        assert late == (DEADLINE_UNREACHABLE, Verdict.MAY_HAVE_RUN)
