Log why a broken attempt is taken for a crash or not, and what became of it

An attempt that had brought an event left no line, crash_seen had neither its age nor what had come, and the leader wrote nothing when it counted a crash or left it out.

Now attempt_lost has the request's fingerprint; crash_seen has events and age; crash_ruled_out gives the reason (had-events, takes-connections, not-looked-at); crash_reported on the leader gives the count and the outcome, also when the log did not take it; quarantine_in_force and quarantined_request on entry VMs say who knows and obeys.

One thing differs besides: an attempt of which only a comment or a part of an event had come is looked at, as no event had.

--- a/packages/coord/src/nutmegdrum_coord/quarantine.py
+++ b/packages/coord/src/nutmegdrum_coord/quarantine.py
@@ -182,6 +182,10 @@
         """Return the requests beside which more than one backend server died."""
         return [f for f, crashes in self._crashes.items() if len(crashes) > 1]
 
+    def crashes(self, fingerprint: Fingerprint) -> int:
+        """Return how many crashes are counted against a request that is not in quarantine."""
+        return len(self._crashes.get(fingerprint, ()))
+
     def suspects(self) -> list[Fingerprint]:
         """Return the requests under suspicion, of which some may have expired by now."""
         return list(self._crashes)
--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -10,7 +10,7 @@
 from nutmegdrum_coord.ids import BackendId, DataCentre, Fingerprint, WorkspaceId
 
 from nutmegdrum_relay.backends import Backend, Backends, Health
-from nutmegdrum_relay.crash_watch import CrashWatch
+from nutmegdrum_relay.crash_watch import BrokenAttempt, CrashWatch
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import AnswerTerms, AttemptTerms, Dialect, Headers, RequestTerms
 from nutmegdrum_relay.documents import Route, RouteKind, Service
@@ -94,6 +94,7 @@
     log_decision(
         "attempt_lost",
         request=demanded.terms.request_id,
+        fingerprint=demanded.fingerprint,
         backend=backend.id,
         loss=lost.loss.value,
         **more,
@@ -115,6 +116,8 @@
         What it counts for in a version's trial.
     begun_ms, heard_ms : int
         Elapsed time in ms at its sending, and at the last piece of its stream.
+    events : int
+        Whole events of its stream that came.
     """
 
     backend: Backend
@@ -125,10 +128,7 @@
     tallied: Tallied | None = None
     begun_ms: int = 0
     heard_ms: int | None = None
-
-
-def _brought_nothing(attempt: Attempt) -> bool:
-    return attempt.heard_ms is None and attempt.answer.status < FAILED_STATUS
+    events: int = 0
 
 
 class Attempts:
@@ -400,15 +400,26 @@
         self._tally_end(demanded, attempt, failed)
         if not failed:
             self._crash_watch.on_success(demanded.fingerprint)
-        elif _brought_nothing(attempt) and not attempt.exchange.aborted:
-            self._watch_broken(demanded, attempt.backend, attempt.begun_ms)
+        elif attempt.answer.status < FAILED_STATUS and not attempt.exchange.aborted:
+            self._watch_broken(demanded, attempt.backend, attempt.begun_ms, attempt.events)
         if attempt.copy is not None:
             self._backends.change_work(attempt.copy, NO_WORK, _copy_work(demanded))
         self._end(demanded, attempt.backend, attempt.exchange, attempt.work, keep)
 
-    def _watch_broken(self, demanded: Demanded, backend: Backend, begun_ms: int) -> None:
-        if not demanded.gone:
-            self._crash_watch.on_broken(demanded.fingerprint, backend.id, backend.address, begun_ms)
+    def _watch_broken(
+        self, demanded: Demanded, backend: Backend, begun_ms: int, events: int = 0
+    ) -> None:
+        if demanded.gone:
+            return
+        self._crash_watch.on_broken(
+            BrokenAttempt(
+                fingerprint=demanded.fingerprint,
+                backend=backend.id,
+                address=backend.address,
+                began_ms=begun_ms,
+                events=events,
+            )
+        )
 
     def _tally_loss(self, demanded: Demanded, tallied: Tallied | None, lost: Lost) -> None:
         if tallied is None or demanded.gone:
--- a/packages/relay/src/nutmegdrum_relay/crash_watch.py
+++ b/packages/relay/src/nutmegdrum_relay/crash_watch.py
@@ -32,11 +32,28 @@
 MAX_REPORTS = 256
 
 
-class _Broken(NamedTuple):
+class BrokenAttempt(NamedTuple):
+    """Attempt that its backend server broke off.
+
+    Attributes
+    ----------
+    began_ms : int
+        Elapsed time in ms at its beginning.
+    events : int
+        Events of its stream that had come.
+    """
+
     fingerprint: Fingerprint
     backend: BackendId
     address: Address
     began_ms: int
+    events: int = 0
+
+
+class _Crash(NamedTuple):
+    fingerprint: Fingerprint
+    backend: BackendId
+    began_ms: int
     died_ms: int
 
 
@@ -49,14 +66,14 @@
         self._lock = threading.Lock()
         self._suspects = Suspects()
         self._told: frozenset[Fingerprint] = frozenset()
-        self._crashes: list[_Broken] = []
+        self._crashes: list[_Crash] = []
         self._cleared: list[Fingerprint] = []
-        self._waiting: queue.Queue[_Broken] = queue.Queue(MAX_WAITING)
+        self._waiting: queue.Queue[tuple[BrokenAttempt, int]] = queue.Queue(MAX_WAITING)
         self._loop = Loop("crashes", self._look)
         self.start = self._loop.start
         self.stop = self._loop.stop
 
-    def check(self, fingerprint: Fingerprint) -> None:
+    def check(self, fingerprint: Fingerprint, request: str) -> None:
         """Refuse a request that is in quarantine.
 
         Raises
@@ -67,23 +84,18 @@
         with self._lock:
             refusal = self._suspects.refusal(fingerprint, self._clock.elapsed_ms())
         if refusal is not None:
+            log_decision("quarantined_request", request=request, fingerprint=fingerprint)
             raise refusal
 
-    def on_broken(
-        self, fingerprint: Fingerprint, backend: BackendId, address: Address, began_ms: int
-    ) -> None:
-        """Look soon whether the backend server of an attempt that brought nothing has died.
-
-        Parameters
-        ----------
-        began_ms : int
-            Elapsed time in ms at the attempt's beginning.
-        """
-        died_ms = self._clock.elapsed_ms()
+    def on_broken(self, attempt: BrokenAttempt) -> None:
+        """Look soon whether the backend server of an attempt that brought nothing has died."""
+        if attempt.events:
+            _log_ruled_out(attempt, "had-events")
+            return
         try:
-            self._waiting.put_nowait(_Broken(fingerprint, backend, address, began_ms, died_ms))
+            self._waiting.put_nowait((attempt, self._clock.elapsed_ms()))
         except queue.Full:
-            log_decision("crash_not_looked_at", backend=backend)
+            _log_ruled_out(attempt, "not-looked-at")
 
     def on_success(self, fingerprint: Fingerprint) -> None:
         """Clear a request that a backend server has run well."""
@@ -116,11 +128,8 @@
         made_ms : int
             Elapsed time in ms at which the report was made.
         """
-        nowhere = Address("")
         broken = [
-            _Broken(
-                c.fingerprint, c.backend, nowhere, made_ms - c.began_ms_ago, made_ms - c.died_ms_ago
-            )
+            _Crash(c.fingerprint, c.backend, made_ms - c.began_ms_ago, made_ms - c.died_ms_ago)
             for c in crashes
         ]
         with self._lock:
@@ -133,17 +142,46 @@
             QuarantineView(fingerprint=q.fingerprint, remaining_ms=q.remaining_ms)
             for q in quarantined
         ]
+        now_ms = self._clock.elapsed_ms()
         with self._lock:
             self._told = frozenset(suspects)
-            self._suspects.set_view(views, (), self._clock.elapsed_ms())
+            new = [q for q in views if self._suspects.refusal(q.fingerprint, now_ms) is None]
+            self._suspects.set_view(views, (), now_ms)
+        for view in new:
+            log_decision(
+                "quarantine_in_force", fingerprint=view.fingerprint, remaining_ms=view.remaining_ms
+            )
 
     def _look(self) -> Duration:
-        broken = self._waiting.get()
+        attempt, died_ms = self._waiting.get()
         try:
-            self._upstream.connect(broken.address, PROBE_TIMEOUT).close()
-        except NotSent:
-            log_decision("crash_seen", backend=broken.backend, fingerprint=broken.fingerprint)
-            with self._lock:
-                if len(self._crashes) < MAX_REPORTS:
-                    self._crashes.append(broken)
+            self._upstream.connect(attempt.address, PROBE_TIMEOUT).close()
+        except NotSent as exc:
+            self._note_crash(attempt, died_ms, str(exc))
+        else:
+            _log_ruled_out(attempt, "takes-connections")
         return Duration(0)
+
+    def _note_crash(self, attempt: BrokenAttempt, died_ms: int, detail: str) -> None:
+        log_decision(
+            "crash_seen",
+            fingerprint=attempt.fingerprint,
+            backend=attempt.backend,
+            events=attempt.events,
+            age_ms=self._clock.elapsed_ms() - died_ms,
+            detail=detail,
+        )
+        crash = _Crash(attempt.fingerprint, attempt.backend, attempt.began_ms, died_ms)
+        with self._lock:
+            if len(self._crashes) < MAX_REPORTS:
+                self._crashes.append(crash)
+
+
+def _log_ruled_out(attempt: BrokenAttempt, reason: str) -> None:
+    log_decision(
+        "crash_ruled_out",
+        fingerprint=attempt.fingerprint,
+        backend=attempt.backend,
+        events=attempt.events,
+        reason=reason,
+    )
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -142,7 +142,7 @@
         asked = b"%s %s\n%s" % (call.method.encode(), call.target.encode(), body)
         owner = workspace.id if workspace is not None else WorkspaceId("")
         identity = fingerprint(owner, RouteName(route.name), asked)
-        self._crash_watch.check(identity)
+        self._crash_watch.check(identity, terms.request_id)
         return Demanded(
             method=call.method,
             target=call.target,
--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -3,7 +3,9 @@
 import random
 import threading
 from collections.abc import Callable
+from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
+from functools import partial
 from pathlib import Path
 
 from nutmegdrum.errors import UserError
@@ -16,7 +18,8 @@
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import Fingerprint, IncarnationId, ServiceName, VersionName, VmId
 from nutmegdrum_coord.parts import Command, PartedState, decode_answer, encode_command
-from nutmegdrum_coord.quarantine import EndTry, Quarantine, ReportCrash
+from nutmegdrum_coord.quarantine import EndTry, Quarantine, QuarantineAnswer, ReportCrash
+from nutmegdrum_coord.statemachine import Applied
 from nutmegdrum_wire.gen.messages.ttypes import Sender
 
 from nutmegdrum_relay.compressed import compress
@@ -341,22 +344,40 @@
         if not self._log.is_leader():
             return
         for crash in report.crashes:
-            self._log.propose(
-                self._encoded(
-                    ReportCrash(
-                        fingerprint=crash.fingerprint,
-                        vm=report.vm,
-                        backend=crash.backend,
-                        began_ms_ago=crash.began_ms_ago,
-                        died_ms_ago=crash.died_ms_ago,
-                    )
-                )
+            command = ReportCrash(
+                fingerprint=crash.fingerprint,
+                vm=report.vm,
+                backend=crash.backend,
+                began_ms_ago=crash.began_ms_ago,
+                died_ms_ago=crash.died_ms_ago,
             )
+            fut = self._log.propose(self._encoded(command))
+            fut.add_done_callback(partial(self._log_crash, command))
         for fingerprint in report.cleared:
             self._log.propose(
                 self._encoded(EndTry(fingerprint=fingerprint, vm=report.vm, cleared=True))
             )
 
+    def _log_crash(self, command: ReportCrash, fut: Future[Applied]) -> None:
+        """Write what the log made of a crash, on the log's thread."""
+        try:
+            outcome = type(decode_answer(fut.result().answer, QuarantineAnswer)).__name__
+        except v.Refusal as refusal:
+            outcome = refusal.why.code
+        with self._shared.lock:
+            counted = self._quarantine.crashes(command.fingerprint)
+        log_decision(
+            "crash_reported",
+            fingerprint=command.fingerprint,
+            entry=command.vm,
+            backend=command.backend,
+            events=command.tokens,
+            ran_ms=command.began_ms_ago - command.died_ms_ago,
+            age_ms=command.died_ms_ago,
+            counted=counted,
+            outcome=outcome,
+        )
+
     def _quarantined(self) -> tuple[Quarantined, ...]:
         with self._shared.lock:
             held = self._quarantine.quarantines(self._shared.log_now_ms())
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -152,7 +152,7 @@
         try:
             for piece in attempt.exchange.chunks(EVENT_TIMEOUT):
                 self._attempts.on_heard(attempt)
-                progressed = self._write(call, run, splitter.feed(piece))
+                progressed = self._write(call, run, attempt, splitter.feed(piece))
                 left = demanded.left(self._clock)
                 if left <= 0:
                     raise Lost(Loss.SILENT, "the deadline passed")
@@ -168,8 +168,9 @@
             raise Lost(Loss.BROKEN, "the stream ended in the middle of an event")
         return status
 
-    def _write(self, call: Call, run: _Run, events: list[Event]) -> bool:
+    def _write(self, call: Call, run: _Run, attempt: Attempt, events: list[Event]) -> bool:
         """Pass new events on, and return whether any of them is more than a comment."""
+        attempt.events += sum(not event.is_comment for event in events)
         new = [event for event in events if _follows(event.id, run.last_event_id)]
         if new:
             call.write(b"".join(event.data for event in new))
--- a/packages/relay/tests/test_crash_watch.py
+++ b/packages/relay/tests/test_crash_watch.py
@@ -4,7 +4,7 @@
 from nutmegdrum.units import Address
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import ManualClock
-from nutmegdrum_relay.crash_watch import MAX_REPORTS, MAX_WAITING, CrashWatch
+from nutmegdrum_relay.crash_watch import MAX_REPORTS, MAX_WAITING, BrokenAttempt, CrashWatch
 from nutmegdrum_relay.upstream import NotSent
 from nutmegdrum_relay.views import CrashReport, Quarantined
 from nutmegdrum_testing.waiting import wait_for
@@ -31,6 +31,10 @@
         pass
 
 
+def broken(name, address, began_ms, fingerprint="f", events=0) -> BrokenAttempt:
+    return BrokenAttempt(fingerprint, name, address, began_ms, events)
+
+
 class World:
     def __init__(self):
         self.clock = ManualClock(10_000)
@@ -53,15 +57,15 @@
 
 class TestCrashes:
     def test_only_a_server_that_takes_no_connection_has_crashed(self, world):
-        world.watch.on_broken("f", "alive", ALIVE, began_ms=9_000)
-        world.watch.on_broken("f", "dead", DEAD, began_ms=9_900)
+        world.watch.on_broken(broken("alive", ALIVE, began_ms=9_000))
+        world.watch.on_broken(broken("dead", DEAD, began_ms=9_900))
         world.clock.advance(50)
         wait_for(world.crashes)
         assert world.told == [CrashReport("f", "dead", 150, 50)]
         assert world.upstream.asked == [ALIVE, DEAD]
 
     def test_what_no_leader_took_is_told_again_with_its_age(self, world):
-        world.watch.on_broken("f", "dead", DEAD, began_ms=9_900)
+        world.watch.on_broken(broken("dead", DEAD, began_ms=9_900))
         (crash,) = wait_for(world.crashes)
         made_ms = world.clock.elapsed_ms()
         world.clock.advance(700)
@@ -73,7 +77,7 @@
     def test_many_broken_attempts_neither_block_nor_pile_up(self, world):
         world.upstream.may_answer.clear()
         for number in range(10 * MAX_WAITING):
-            world.watch.on_broken(f"f{number}", "dead", DEAD, began_ms=9_900)
+            world.watch.on_broken(broken("dead", DEAD, 9_900, f"f{number}"))
         world.upstream.may_answer.set()
         wait_for(lambda: len(world.crashes()) >= MAX_WAITING)
         world.watch.give_back([world.told[0]] * 2 * MAX_REPORTS, (), 10_000)
@@ -84,11 +88,11 @@
     def test_a_quarantined_request_is_refused_until_its_time_is_over(self, world):
         world.watch.set_view([Quarantined("f", 5_000)], [])
         with pytest.raises(v.Refusal) as exc:
-            world.watch.check("f")
+            world.watch.check("f", "q1")
         assert (exc.value.why, exc.value.verdict) == (v.QUARANTINED, v.Verdict.NOT_RUN)
-        world.watch.check("g")
+        world.watch.check("g", "q1")
         world.clock.advance(5_000)
-        world.watch.check("f")
+        world.watch.check("f", "q1")
 
     def test_only_suspects_that_the_leader_told_of_are_cleared(self, world):
         world.watch.on_success("f")
