Count a crash also when events of the stream had come

What callers saw: nothing of their own, but engine after engine ended, with all other streams on it. An engine begins to run a request with its first token, so one that ends then may have sent an event.

Cause: Attempts reported only attempts that broke off before anything came, so that streams which lose their engine midway for another reason are not taken for culprits.

Now each attempt that breaks off is looked at and reported with its events. What tells a culprit from a victim is where it ends its servers: three deaths at one point (within the first two events, or at the same event give or take one, as the product's other path has it) name a request; deaths anywhere else do not, and are not told to entry VMs as suspicions. A death that breaks many attempts off is probed once. The list of a request's crashes is bounded.

Ruled out: counting each death alike, which names a long stream under a row of failing data centres.

Tests: test_crashing_requests.py (1, 2 and 20 events failed with the old condition, the crash was never told), TestNamedByCount (the stream whose engines die anywhere guards the other side).

--- a/packages/coord/src/nutmegdrum_coord/quarantine.py
+++ b/packages/coord/src/nutmegdrum_coord/quarantine.py
@@ -18,6 +18,7 @@
 MAX_QUARANTINES = 10_000
 FEW_TOKENS = 2
 MAX_CRASHES = 4
+MAX_CRASHES_KEPT = 16
 
 
 class ReportCrash(Command):
@@ -148,10 +149,10 @@
     quarantine_ms : int
         Length of a quarantine, in ms of the log's time.
     crashes_alone : int or None
-        Backend servers that died before they yielded anything of a request, one after the other,
-        after which it is quarantined without a reserved try; None if only such tries name a
-        culprit. Attempts that ran side by side when their servers died are one crash, as servers
-        that die together have a cause of their own.
+        Backend servers that died at the same point of a request, one after the other, after which
+        it is quarantined without a reserved try; None if only such tries name a culprit. Attempts
+        that ran side by side when their servers died are one crash, as servers that die together
+        have a cause of their own.
     """
 
     name = "quarantine"
@@ -179,8 +180,8 @@
         return self._end(command)
 
     def repeated(self) -> list[Fingerprint]:
-        """Return the requests beside which more than one backend server died."""
-        return [f for f, crashes in self._crashes.items() if len(crashes) > 1]
+        """Return the requests that more than one backend server died under, at the same point."""
+        return [f for f, crashes in self._crashes.items() if _at_last_point(crashes) > 1]
 
     def crashes(self, fingerprint: Fingerprint) -> int:
         """Return how many crashes are counted against a request that is not in quarantine."""
@@ -229,7 +230,7 @@
             return SuspectNoted()
         if isolated:
             del self._tries[command.backend]
-        crashes = [*earlier, crash]
+        crashes = [*earlier, crash][-MAX_CRASHES_KEPT:]
         self._crashes[command.fingerprint] = crashes
         shared = self._shared(command, ctx.at)
         if earlier and isolated and not shared and _is_culprit(crashes):
@@ -280,7 +281,7 @@
     def _is_named_by_count(self, crashes: list[_Crash]) -> bool:
         if self._crashes_alone is None:
             return False
-        return sum(crash.tokens == 0 for crash in crashes) >= self._crashes_alone
+        return _at_last_point(crashes) >= self._crashes_alone
 
     def _reserve(self, at: LogMs, command: ReserveTry) -> QuarantineAnswer:
         if command.fingerprint in self._accusations:
@@ -322,6 +323,16 @@
     return crash.backend == other.backend and crash.at - other.at < SAME_CRASH_MS
 
 
+def _at_last_point(crashes: list[_Crash]) -> int:
+    """Return how many crashes came at the point of the last one, which counts too."""
+    return sum(_same_point(crash, crashes[-1]) for crash in crashes)
+
+
+def _same_point(crash: _Crash, other: _Crash) -> bool:
+    early = crash.tokens <= FEW_TOKENS and other.tokens <= FEW_TOKENS
+    return early or abs(crash.tokens - other.tokens) <= 1
+
+
 def _is_culprit(crashes: list[_Crash]) -> bool:
     """Return whether the last crash came where an earlier one did.
 
@@ -331,4 +342,4 @@
     last = crashes[-1]
     if last.tokens <= FEW_TOKENS or len(crashes) >= MAX_CRASHES:
         return True
-    return any(abs(last.tokens - crash.tokens) <= 1 for crash in crashes[:-1])
+    return _at_last_point(crashes) > 1
--- a/packages/coord/tests/test_quarantine.py
+++ b/packages/coord/tests/test_quarantine.py
@@ -50,11 +50,12 @@
     def __init__(self):
         self._part = Quarantine(crashes_alone=3)
 
-    def crash(self, at, vm="e1", backend="b1", began=None, died=None):
+    def crash(self, at, vm="e1", backend="b1", began=None, died=None, tokens=0):
         command = ReportCrash(
             fingerprint="f",
             vm=vm,
             backend=backend,
+            tokens=tokens,
             began_ms_ago=at - (at if began is None else began),
             died_ms_ago=at - (at if died is None else died),
         )
@@ -81,6 +82,22 @@
         assert part._part.quarantines(LogMs(600)) == {}
         assert part._part.repeated() == []
 
+    def test_servers_that_die_at_one_point_of_a_stream_name_it(self):
+        part = CountingPart()
+        part.crash(at=0, backend="b1", tokens=20)
+        part.crash(at=100, backend="b2", tokens=50)
+        assert part._part.repeated() == []
+        part.crash(at=200, backend="b3", tokens=21)
+        assert part._part.repeated() == ["f"]
+        assert isinstance(part.crash(at=300, backend="b4", tokens=20), Quarantined)
+
+    def test_a_stream_whose_engines_die_anywhere_is_not_named(self):
+        part = CountingPart()
+        for number in range(30):
+            crash = part.crash(at=number * 1_000, backend=f"b{number}", tokens=3 + 5 * number)
+            assert crash == SuspectNoted()
+            assert part._part.repeated() == []
+
     def test_a_run_that_goes_well_clears_a_request(self):
         part = CountingPart()
         part.crash(at=100, backend="b1")
--- a/packages/relay/src/nutmegdrum_relay/crash_watch.py
+++ b/packages/relay/src/nutmegdrum_relay/crash_watch.py
@@ -1,11 +1,13 @@
 """Requests beside which backend servers die, as one entry VM sees them.
 
 Answers the load of a request that crashes each backend server which begins to run it, and comes
-again at any entry VM. An attempt that breaks off before it brought anything, and whose backend
-server then takes no connection, is reported; the replicated state names a request beside which
-several died, and all entry VMs refuse it. An attempt that goes well clears its request.
+again at any entry VM. An attempt that breaks off and whose backend server then takes no connection
+is reported, with how many events had come; the replicated state names a request under which
+several died at the same point, and all entry VMs refuse it. An attempt that goes well clears its
+request.
 """
 
+import contextlib
 import queue
 import threading
 from collections.abc import Iterable
@@ -55,6 +57,7 @@
     backend: BackendId
     began_ms: int
     died_ms: int
+    events: int
 
 
 class CrashWatch:
@@ -88,10 +91,7 @@
             raise refusal
 
     def on_broken(self, attempt: BrokenAttempt) -> None:
-        """Look soon whether the backend server of an attempt that brought nothing has died."""
-        if attempt.events:
-            _log_ruled_out(attempt, "had-events")
-            return
+        """Look soon whether the backend server of an attempt has died."""
         try:
             self._waiting.put_nowait((attempt, self._clock.elapsed_ms()))
         except queue.Full:
@@ -113,8 +113,14 @@
             broken, self._crashes = self._crashes, []
             cleared, self._cleared = self._cleared, []
         crashes = (
-            CrashReport(b.fingerprint, b.backend, now_ms - b.began_ms, now_ms - b.died_ms)
-            for b in broken
+            CrashReport(
+                crash.fingerprint,
+                crash.backend,
+                now_ms - crash.began_ms,
+                now_ms - crash.died_ms,
+                crash.events,
+            )
+            for crash in broken
         )
         return tuple(crashes), tuple(cleared)
 
@@ -129,7 +135,13 @@
             Elapsed time in ms at which the report was made.
         """
         broken = [
-            _Crash(c.fingerprint, c.backend, made_ms - c.began_ms_ago, made_ms - c.died_ms_ago)
+            _Crash(
+                c.fingerprint,
+                c.backend,
+                made_ms - c.began_ms_ago,
+                made_ms - c.died_ms_ago,
+                c.events,
+            )
             for c in crashes
         ]
         with self._lock:
@@ -153,14 +165,29 @@
             )
 
     def _look(self) -> Duration:
-        attempt, died_ms = self._waiting.get()
+        """Look at all attempts that wait, once at each address: one death breaks many off."""
+        waiting = [self._waiting.get()]
+        with contextlib.suppress(queue.Empty):
+            while True:
+                waiting.append(self._waiting.get_nowait())
+        why_dead = {
+            address: self._why_dead(address)
+            for address in dict.fromkeys(attempt.address for attempt, _ in waiting)
+        }
+        for attempt, died_ms in waiting:
+            detail = why_dead[attempt.address]
+            if detail is None:
+                _log_ruled_out(attempt, "takes-connections")
+            else:
+                self._note_crash(attempt, died_ms, detail)
+        return Duration(0)
+
+    def _why_dead(self, address: Address) -> str | None:
         try:
-            self._upstream.connect(attempt.address, PROBE_TIMEOUT).close()
+            self._upstream.connect(address, PROBE_TIMEOUT).close()
         except NotSent as exc:
-            self._note_crash(attempt, died_ms, str(exc))
-        else:
-            _log_ruled_out(attempt, "takes-connections")
-        return Duration(0)
+            return str(exc) or type(exc).__name__
+        return None
 
     def _note_crash(self, attempt: BrokenAttempt, died_ms: int, detail: str) -> None:
         log_decision(
@@ -171,7 +198,9 @@
             age_ms=self._clock.elapsed_ms() - died_ms,
             detail=detail,
         )
-        crash = _Crash(attempt.fingerprint, attempt.backend, attempt.began_ms, died_ms)
+        crash = _Crash(
+            attempt.fingerprint, attempt.backend, attempt.began_ms, died_ms, attempt.events
+        )
         with self._lock:
             if len(self._crashes) < MAX_REPORTS:
                 self._crashes.append(crash)
--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -62,8 +62,8 @@
 """Time between two looks at the members; well below the time after which one is replaced."""
 
 CRASHES_ALONE = 3
-"""Backend servers that die before they yield anything of a request, after which it is refused; more
-retries than these may reach none (the users' bound on crashing requests)."""
+"""Backend servers that die at the same point of a request, after which it is refused; more retries
+than these may reach none (the users' bound on crashing requests)."""
 
 QUARANTINE_TIME = Duration(600_000)
 """Length of a quarantine by count, which a row of other failures can bring about too."""
@@ -348,6 +348,7 @@
                 fingerprint=crash.fingerprint,
                 vm=report.vm,
                 backend=crash.backend,
+                tokens=crash.events,
                 began_ms_ago=crash.began_ms_ago,
                 died_ms_ago=crash.died_ms_ago,
             )
--- a/packages/relay/src/nutmegdrum_relay/views.py
+++ b/packages/relay/src/nutmegdrum_relay/views.py
@@ -107,18 +107,21 @@
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """Backend server that died before it yielded anything of a request.
+    """Backend server that died under a request.
 
     Attributes
     ----------
     began_ms_ago, died_ms_ago : int
         Time from the attempt's beginning, and from its end, to the report, in ms.
+    events : int
+        Events that the attempt had brought.
     """
 
     fingerprint: Fingerprint
     backend: BackendId
     began_ms_ago: int
     died_ms_ago: int
+    events: int = 0
 
 
 class Quarantined(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/packages/relay/tests/test_crashing_requests.py
@@ -0,0 +1,117 @@
+import contextlib
+import http.client
+import socket
+import threading
+
+import pytest
+from nutmegdrum_coord.clock import LogMs, SystemClock
+from nutmegdrum_coord.parts import Context, Envelope
+from nutmegdrum_coord.quarantine import Quarantine, ReportCrash
+from nutmegdrum_relay.documents import RouteKind
+from nutmegdrum_relay.state_role import CRASHES_ALONE, QUARANTINE_TIME
+from nutmegdrum_relay.views import Quarantined
+from nutmegdrum_testing.relay_world import HOST, KEY, RelayWorld, document, route
+from nutmegdrum_testing.scripted_backend import ScriptedBackend
+from nutmegdrum_testing.waiting import wait_for
+
+VMS = 3
+SERVERS = 12
+SENDS = 8
+
+
+class Fleet:
+    """Entry VMs before the same backend servers, each of which ends under the request.
+
+    Parameters
+    ----------
+    before_end : callable
+        What a backend server answers before it ends.
+    """
+
+    def __init__(self, kind, before_end, **changes):
+        self.ended = []
+        self._kind = kind
+        self._before_end = before_end
+        self._clock = SystemClock()
+        self._quarantine = Quarantine(int(QUARANTINE_TIME), CRASHES_ALONE)
+        self._told = 0
+        self._servers = [ScriptedBackend(self._end) for _ in range(SERVERS)]
+        self._vms = [RelayWorld(document(route(kind, **changes))) for _ in range(VMS)]
+        for vm in self._vms:
+            vm.share(self._servers)
+
+    def send(self, number):
+        """Send the request at one of the VMs, which then all report what they saw."""
+        vm = self._vms[number % VMS]
+        conn = http.client.HTTPConnection(vm.address.host, vm.address.port, timeout=10)
+        sent = {"Host": HOST, "X-Id": f"q{number}", "X-Key": KEY}
+        conn.request("POST", f"/{self._kind.value}/x", b"culprit", sent)
+        with contextlib.suppress(http.client.IncompleteRead):
+            conn.getresponse().read()
+        conn.close()
+        wait_for(self._all_told)
+
+    def _all_told(self):
+        for vm in self._vms:
+            crashes, _ = vm.crash_watch.take_reports()
+            self._told += len(crashes)
+            for crash in crashes:
+                self._quarantine.apply(
+                    Context(1, self._now(), Envelope(command=b"")),
+                    ReportCrash(
+                        fingerprint=crash.fingerprint,
+                        vm="e",
+                        backend=crash.backend,
+                        tokens=crash.events,
+                        began_ms_ago=crash.began_ms_ago,
+                        died_ms_ago=crash.died_ms_ago,
+                    ),
+                )
+        held = self._quarantine.quarantines(self._now())
+        for vm in self._vms:
+            quarantined = [Quarantined(f, ms) for f, ms in held.items()]
+            vm.crash_watch.set_view(quarantined, self._quarantine.repeated())
+        return self._told == len(self.ended)
+
+    def _now(self):
+        return LogMs(self._clock.elapsed_ms())
+
+    def _end(self, received):
+        server = next(s for s in self._servers if received in s.received)
+        self._before_end(received)
+        self.ended.append(server)
+        threading.Thread(target=server.stop, daemon=True).start()
+        wait_for(lambda: not connects(server.address))
+        received.reset()
+
+    def close(self):
+        for vm in self._vms:
+            vm.stop()
+
+
+def events(count):
+    def before_end(received):
+        received.start_events(X_Id=received.headers["x-id"])
+        first = int(received.headers.get("x-last") or 0) + 1
+        for number in range(first, first + count):
+            received.event(number)
+
+    return before_end
+
+
+def connects(address) -> bool:
+    try:
+        socket.create_connection((address.host, address.port), 1).close()
+    except OSError:
+        return False
+    return True
+
+
+class TestServersEnded:
+    @pytest.mark.parametrize("count", [0, 1, 2, 20])
+    def test_a_stream_that_ends_its_engine_after_some_events_costs_three(self, count):
+        with contextlib.closing(Fleet(RouteKind.STREAM, events(count), max_attempts=2)) as fleet:
+            for number in range(SENDS):
+                fleet.send(number)
+        # Both attempts of the second send may be under way when the third engine ends.
+        assert len(fleet.ended) <= 4
--- a/packages/testing/src/nutmegdrum_testing/relay_world.py
+++ b/packages/testing/src/nutmegdrum_testing/relay_world.py
@@ -3,7 +3,7 @@
 import random
 import socket
 import threading
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 
 from nutmegdrum.retries import RetryBudget
 from nutmegdrum.units import Address, Duration
@@ -151,11 +151,15 @@
     def add(self, *scripts, version: str = "v1") -> list[ScriptedBackend]:
         """Add a backend server for each script, each in a data centre of its own."""
         new = [ScriptedBackend(script) for script in scripts]
-        self._scripted.extend(new)
-        self._versions.extend(version for _ in new)
-        self.list_backends()
+        self.share(new, version)
         return new
 
+    def share(self, backends: Sequence[ScriptedBackend], version: str = "v1") -> None:
+        """Add backend servers that other entry VMs may have too."""
+        self._scripted.extend(backends)
+        self._versions.extend(version for _ in backends)
+        self.list_backends()
+
     def list_backends(self, leaving: Collection[str] = ()) -> None:
         """Let the list show all backend servers, those at addresses of `leaving` as leaving."""
         self.backends.set_listing(
