Count crashes of copies side by side that end their servers one after another

Cause: an attempt that began before the last counted death was taken for a victim of the same failure, however much later its server died. Copies of a request that run for some seconds before they end their servers (a prompt that waits or is read) therefore counted once for each run's length: at 200 ms between copies of 3 s, the third counted death came 4.6 s after the third real one, past the users' bound of 3 s and with more than three sends since.

Now deaths are one crash only if the attempts ran side by side and the servers died within a second of each other, against any of the crashes kept. Servers of one data centre die together; copies of a culprit end theirs as they began.

The test of servers that die together under a popular request is unchanged.

--- a/packages/coord/src/nutmegdrum_coord/quarantine.py
+++ b/packages/coord/src/nutmegdrum_coord/quarantine.py
@@ -19,6 +19,9 @@
 FEW_TOKENS = 2
 MAX_CRASHES = 4
 MAX_CRASHES_KEPT = 16
+DIED_TOGETHER_MS = 1_000
+"""Time in ms within which the deaths of a data centre's backend servers are noticed. Three crashes
+are counted within twice as long, before the users' bound on crashing requests (3 s) is over."""
 
 
 class ReportCrash(Command):
@@ -150,9 +153,9 @@
         Length of a quarantine, in ms of the log's time.
     crashes_alone : int or None
         Backend servers that died at the same point of a request, one after the other, after which
-        it is quarantined without a reserved try; None if only such tries name a culprit. Attempts
-        that ran side by side when their servers died are one crash, as servers that die together
-        have a cause of their own.
+        it is quarantined without a reserved try; None if only such tries name a culprit. Servers
+        that die together under attempts which ran side by side are one crash, as they have a cause
+        of their own.
     """
 
     name = "quarantine"
@@ -221,7 +224,7 @@
             LogMs(ctx.at - command.died_ms_ago),
         )
         earlier = self._crashes.pop(command.fingerprint, [])
-        if self._crashes_alone is not None and earlier and crash.began < earlier[-1].died:
+        if self._crashes_alone is not None and any(_died_together(crash, e) for e in earlier):
             self._crashes[command.fingerprint] = earlier
             return SuspectNoted()
         isolated = self._isolated(command)
@@ -333,6 +336,11 @@
     return early or abs(crash.tokens - other.tokens) <= 1
 
 
+def _died_together(crash: _Crash, earlier: _Crash) -> bool:
+    side_by_side = crash.began < earlier.died
+    return side_by_side and abs(crash.died - earlier.died) < DIED_TOGETHER_MS
+
+
 def _is_culprit(crashes: list[_Crash]) -> bool:
     """Return whether the last crash came where an earlier one did.
 
--- a/packages/coord/tests/test_quarantine.py
+++ b/packages/coord/tests/test_quarantine.py
@@ -1,4 +1,5 @@
 import msgspec
+import pytest
 from nutmegdrum_coord.clock import LogMs
 from nutmegdrum_coord.parts import Context, Envelope
 from nutmegdrum_coord.quarantine import (
@@ -13,6 +14,10 @@
     TryGranted,
 )
 
+CONTACT_MS = 3_000
+MAX_LATE_RETRIES = 3
+"""The users' bound: retries sent later than `CONTACT_MS` after the third crash."""
+
 
 class Part:
     """Quarantine part with the log time of each command."""
@@ -82,6 +87,23 @@
         assert part._part.quarantines(LogMs(600)) == {}
         assert part._part.repeated() == []
 
+    @pytest.mark.parametrize("run_ms", [50, 500, 3_000, 10_000])
+    @pytest.mark.parametrize("every_ms", [20, 200, 700])
+    def test_copies_side_by_side_end_no_more_servers_once_the_bound_is_over(self, run_ms, every_ms):
+        part = CountingPart()
+        sends = range(0, 120_000, every_ms)
+        named_ms = next(
+            began + run_ms
+            for began in sends
+            if isinstance(
+                part.crash(began + run_ms, backend=f"b{began}", began=began, died=began + run_ms),
+                Quarantined,
+            )
+        )
+        third_ms = sends[2] + run_ms
+        sent_late = [began for began in sends if third_ms + CONTACT_MS < began < named_ms]
+        assert len(sent_late) <= MAX_LATE_RETRIES
+
     def test_servers_that_die_at_one_point_of_a_stream_name_it(self):
         part = CountingPart()
         part.crash(at=0, backend="b1", tokens=20)
