Don't send a request again that was quarantined while it ran

Cause: a request was checked once, when it arrived. One that is named while it waits for a silent engine or runs elsewhere was resent up to its route's attempts. Each retry now asks again; the caller gets 502 (may have run) at once, a stream that had begun is broken off. quarantined_request says so.

Test: failed before for an idempotent request and a stream (2 sends for 1).

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -181,6 +181,17 @@
             candidates, demanded.demand, cache_tokens, self._near, tried, now_ms, self._rng, fresh
         )
 
+    def may_go_on(self, demanded: Demanded) -> bool:
+        """Return whether a request may still be sent; it may have been quarantined meanwhile."""
+        if not self._crash_watch.is_quarantined(demanded.fingerprint):
+            return True
+        log_decision(
+            "quarantined_request",
+            request=demanded.terms.request_id,
+            fingerprint=demanded.fingerprint,
+        )
+        return False
+
     def successor(self, backend: Backend) -> Backend:
         """Return the engine that listens at `backend`'s address now; copies are sent there."""
         return self._backends.successor(backend)
--- a/packages/relay/src/nutmegdrum_relay/crash_watch.py
+++ b/packages/relay/src/nutmegdrum_relay/crash_watch.py
@@ -90,6 +90,12 @@
             log_decision("quarantined_request", request=request, fingerprint=fingerprint)
             raise refusal
 
+    def is_quarantined(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request is to be sent no more."""
+        with self._lock:
+            refusal = self._suspects.refusal(fingerprint, self._clock.elapsed_ms())
+        return refusal is not None
+
     def on_broken(self, attempt: BrokenAttempt) -> None:
         """Look soon whether the backend server of an attempt has died."""
         try:
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -75,7 +75,8 @@
                 raise CallerGone
             tries.note(loss)
             progress = tries.progress(demanded.left(self._clock))
-            if not may_retry(demanded.route, loss, progress) or not self._may_spend(loss):
+            again = may_retry(demanded.route, loss, progress) and self._attempts.may_go_on(demanded)
+            if not again or not self._may_spend(loss):
                 return failure or self._give_up(demanded, tries, progress.left)
 
     def _may_spend(self, loss: Loss) -> bool:
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -199,7 +199,8 @@
 
     def _goes_on(self, demanded: Demanded, run: _Run) -> bool:
         progress = run.tries.progress(demanded.left(self._clock))
-        return may_retry(demanded.route, run.last_loss, progress)
+        again = may_retry(demanded.route, run.last_loss, progress)
+        return again and self._attempts.may_go_on(demanded)
 
     def _give_up(self, call: Call, demanded: Demanded, run: _Run, left: Duration) -> int:
         if run.head_sent:
--- a/packages/relay/tests/test_relay.py
+++ b/packages/relay/tests/test_relay.py
@@ -593,6 +593,20 @@
         assert backend.received == []
         assert get(world, "/idempotent/x", "POST", b"other")[0] == 200
 
+    @pytest.mark.parametrize("path", ["/idempotent/x", "/stream/x"])
+    def test_a_request_that_is_quarantined_while_it_runs_is_not_sent_again(self, world, path):
+        kind = path.split("/")[1]
+        identity = fingerprint("team", f"r-{kind}", f"POST {path}\nculprit".encode())
+
+        def name_and_reset(received):
+            world.crash_watch.set_view([Quarantined(identity, 2_500)], [])
+            received.reset()
+
+        backends = world.add(name_and_reset, name_and_reset)
+        status, _, _ = get(world, path, "POST", b"culprit")
+        assert status == 502
+        assert sum(len(backend.received) for backend in backends) == 1
+
     def test_a_failure_as_answer_is_no_crash(self, world):
         world.add(answers(500))
         get(world, "/non-idempotent/x", "POST")
