Recognize a dead backend server on the relay while its listener still takes connections

Cause: the relay's probe took any connection for a sign of life. The system closes a dead process's connections one by one, so its listener may be the last.

Now the relay uses the gateway's probe (has_ended), which watches a connection for 100 ms. An address is probed once for all attempts that wait.

Test: test_a_server_whose_listener_closes_last_has_crashed (the earlier probe, a connect alone, says that it lives).

--- a/packages/relay/src/nutmegdrum_relay/crash_watch.py
+++ b/packages/relay/src/nutmegdrum_relay/crash_watch.py
@@ -10,9 +10,10 @@
 import contextlib
 import queue
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from nutmegdrum.probes import has_ended
 from nutmegdrum.suspects import Suspects
 from nutmegdrum.units import Address, Duration
 from nutmegdrum.view import QuarantineView
@@ -21,12 +22,15 @@
 
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.loop import Loop
-from nutmegdrum_relay.upstream import NotSent, Upstream
 from nutmegdrum_relay.views import CrashReport, Quarantined
 
 PROBE_TIMEOUT = Duration(100)
 """Wait for a connection to a backend server that may have died; several round trips."""
 
+SETTLE_TIME = Duration(100)
+"""Time in which the system has closed all connections of a process that died, the listener among
+them; docs/design/crashing-requests.md, limits."""
+
 MAX_WAITING = 64
 """Attempts that wait to be looked at; more break off together only when many servers die at once,
 which no single request causes."""
@@ -60,12 +64,23 @@
     events: int
 
 
+def server_has_ended(address: Address) -> bool:
+    """Return whether a backend server takes no connections, or is about to end."""
+    return has_ended(address, int(PROBE_TIMEOUT), int(SETTLE_TIME))
+
+
 class CrashWatch:
-    """Suspects and quarantines on this entry VM; thread-safe."""
+    """Suspects and quarantines on this entry VM; thread-safe.
+
+    Parameters
+    ----------
+    ended : callable
+        Returns whether the backend server at an address has ended.
+    """
 
-    def __init__(self, clock: Clock, upstream: Upstream):
+    def __init__(self, clock: Clock, ended: Callable[[Address], bool] = server_has_ended):
         self._clock = clock
-        self._upstream = upstream
+        self._ended = ended
         self._lock = threading.Lock()
         self._suspects = Suspects()
         self._told: frozenset[Fingerprint] = frozenset()
@@ -176,33 +191,24 @@
         with contextlib.suppress(queue.Empty):
             while True:
                 waiting.append(self._waiting.get_nowait())
-        why_dead = {
-            address: self._why_dead(address)
+        ended = {
+            address: self._ended(address)
             for address in dict.fromkeys(attempt.address for attempt, _ in waiting)
         }
         for attempt, died_ms in waiting:
-            detail = why_dead[attempt.address]
-            if detail is None:
-                _log_ruled_out(attempt, "takes-connections")
+            if ended[attempt.address]:
+                self._note_crash(attempt, died_ms)
             else:
-                self._note_crash(attempt, died_ms, detail)
+                _log_ruled_out(attempt, "takes-connections")
         return Duration(0)
 
-    def _why_dead(self, address: Address) -> str | None:
-        try:
-            self._upstream.connect(address, PROBE_TIMEOUT).close()
-        except NotSent as exc:
-            return str(exc) or type(exc).__name__
-        return None
-
-    def _note_crash(self, attempt: BrokenAttempt, died_ms: int, detail: str) -> None:
+    def _note_crash(self, attempt: BrokenAttempt, died_ms: int) -> None:
         log_decision(
             "crash_seen",
             fingerprint=attempt.fingerprint,
             backend=attempt.backend,
             events=attempt.events,
             age_ms=self._clock.elapsed_ms() - died_ms,
-            detail=detail,
         )
         crash = _Crash(
             attempt.fingerprint, attempt.backend, attempt.began_ms, died_ms, attempt.events
--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -76,7 +76,7 @@
         self._upstream = Upstream(clock)
         running = Running()
         gate = VersionGate(clock, rng)
-        self._crash_watch = CrashWatch(clock, self._upstream)
+        self._crash_watch = CrashWatch(clock)
         self._control = ControlClient(rpc, cfg.seed_peers())
         reporter = Reporter(
             VmId(cfg.place.name),
--- a/packages/relay/tests/test_attempts.py
+++ b/packages/relay/tests/test_attempts.py
@@ -60,7 +60,7 @@
         DataCentre("dc1"),
         shared,
         VersionGate(clock, random.Random(1)),
-        CrashWatch(clock, upstream),
+        CrashWatch(clock),
     )
 
 
--- a/packages/relay/tests/test_compressed.py
+++ b/packages/relay/tests/test_compressed.py
@@ -64,7 +64,7 @@
         backends = Backends(clock)
         backends.set_listing([listed("b", Address("10.0.0.1:80"))])
         gate = VersionGate(clock, random.Random(1))
-        watch = CrashWatch(clock, None)
+        watch = CrashWatch(clock)
         vm, start = VmId("e"), IncarnationId("1")
         reporter = Reporter(vm, start, clock, Client(), backends, gate, watch)
         assert reporter.ask(0)
--- a/packages/relay/tests/test_crash_watch.py
+++ b/packages/relay/tests/test_crash_watch.py
@@ -1,34 +1,35 @@
+import socket
 import threading
 
 import pytest
 from nutmegdrum.units import Address
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import ManualClock
-from nutmegdrum_relay.crash_watch import MAX_REPORTS, MAX_WAITING, BrokenAttempt, CrashWatch
-from nutmegdrum_relay.upstream import NotSent
+from nutmegdrum_relay.crash_watch import (
+    MAX_REPORTS,
+    MAX_WAITING,
+    BrokenAttempt,
+    CrashWatch,
+    server_has_ended,
+)
 from nutmegdrum_relay.views import CrashReport, Quarantined
 from nutmegdrum_testing.waiting import wait_for
 
 DEAD, ALIVE = Address("10.0.0.1:80"), Address("10.0.0.2:80")
 
 
-class StandInUpstream:
-    """Connects to `ALIVE` only; each connection waits for `may_answer`."""
+class StandInProbe:
+    """Says that the server at `DEAD` has ended; each question waits for `may_answer`."""
 
     def __init__(self):
         self.asked = []
         self.may_answer = threading.Event()
         self.may_answer.set()
 
-    def connect(self, address, timeout):
+    def __call__(self, address):
         self.may_answer.wait(10)
         self.asked.append(address)
-        if address == DEAD:
-            raise NotSent("refused")
-        return self
-
-    def close(self):
-        pass
+        return address == DEAD
 
 
 def broken(name, address, began_ms, fingerprint="f", events=0) -> BrokenAttempt:
@@ -38,8 +39,8 @@
 class World:
     def __init__(self):
         self.clock = ManualClock(10_000)
-        self.upstream = StandInUpstream()
-        self.watch = CrashWatch(self.clock, self.upstream)
+        self.probe = StandInProbe()
+        self.watch = CrashWatch(self.clock, self.probe)
         self.watch.start()
         self.told = []
 
@@ -62,7 +63,24 @@
         world.clock.advance(50)
         wait_for(world.crashes)
         assert world.told == [CrashReport("f", "dead", 150, 50)]
-        assert world.upstream.asked == [ALIVE, DEAD]
+        assert world.probe.asked == [ALIVE, DEAD]
+
+    def test_a_server_whose_listener_closes_last_has_crashed(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+            ending = threading.Thread(target=lambda: (listener.accept(), listener.close()))
+            ending.start()
+            assert server_has_ended(address)
+            ending.join()
+
+    def test_many_attempts_that_one_death_broke_off_take_one_probe(self, world):
+        world.probe.may_answer.clear()
+        world.watch.on_broken(broken("alive", ALIVE, began_ms=9_900))
+        for number in range(10):
+            world.watch.on_broken(broken("dead", DEAD, 9_900, f"f{number}"))
+        world.probe.may_answer.set()
+        wait_for(lambda: len(world.crashes()) == 10)
+        assert world.probe.asked.count(DEAD) <= 2
 
     def test_what_no_leader_took_is_told_again_with_its_age(self, world):
         world.watch.on_broken(broken("dead", DEAD, began_ms=9_900))
@@ -75,10 +93,10 @@
         assert cleared == ("g",)
 
     def test_many_broken_attempts_neither_block_nor_pile_up(self, world):
-        world.upstream.may_answer.clear()
+        world.probe.may_answer.clear()
         for number in range(10 * MAX_WAITING):
             world.watch.on_broken(broken("dead", DEAD, 9_900, f"f{number}"))
-        world.upstream.may_answer.set()
+        world.probe.may_answer.set()
         wait_for(lambda: len(world.crashes()) >= MAX_WAITING)
         world.watch.give_back([world.told[0]] * 2 * MAX_REPORTS, (), 10_000)
         assert len(world.watch.take_reports()[0]) <= MAX_REPORTS
--- a/packages/relay/tests/test_fleet_work.py
+++ b/packages/relay/tests/test_fleet_work.py
@@ -71,7 +71,7 @@
             self.backends.append(backends)
             vm, start = VmId(f"e{number}"), IncarnationId("1")
             gate = VersionGate(self.clock, self.rng)
-            watch = CrashWatch(self.clock, None)
+            watch = CrashWatch(self.clock)
             self.reporters.append(Reporter(vm, start, self.clock, leader, backends, gate, watch))
         self.free_ms = {each.id: 0 for each in LISTING}
         self.events = []
@@ -203,7 +203,7 @@
         backends.set_listing(LISTING)
         client = StandInClient(view)
         gate = VersionGate(self.clock, random.Random(1))
-        watch = CrashWatch(self.clock, None)
+        watch = CrashWatch(self.clock)
         vm, start = VmId("e"), IncarnationId("1")
         reporter = Reporter(vm, start, self.clock, client, backends, gate, watch)
         return FleetWork(reporter, lambda: 4), client, backends
--- a/packages/testing/src/nutmegdrum_testing/relay_world.py
+++ b/packages/testing/src/nutmegdrum_testing/relay_world.py
@@ -98,7 +98,7 @@
         self.gate = VersionGate(self.clock, rng)
         upstream = Upstream(self.clock)
         running = Running()
-        self.crash_watch = CrashWatch(self.clock, upstream)
+        self.crash_watch = CrashWatch(self.clock)
         self.crash_watch.start()
         attempts = Attempts(
             self.clock,
