Heed servers that say in an answer that they leave, or that they want no requests

Now the adapter decodes both (a date or nonsense as Retry-After is logged and closes nothing). What leaves is out of the choice for this VM and incarnation; what wants nothing is left alone for that time and up to a quarter longer, a second at most, drawn by each VM. That holds for firsts, resends, copies and resumptions, and is applied after the versions' shares, so that a version under trial never gets the requests of closed servers. While all of a service want nothing, callers are refused at once with the time of the first that is free. Neither is a fault of the server or its version.

Not told to other entry VMs: the bounds bind each VM by what it heard, and an id alone does not name an incarnation, so a second teller could close a server that has started again under its id. Not on the product's own gateway yet.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -27,6 +27,13 @@
 """Statuses from this one on are a backend server's failure to answer."""
 
 
+OPENING_SPREAD = 0.25
+"""Part of the time for which a backend server wants no requests by which each entry VM waits
+longer, drawn at random, so that they do not all come back at once."""
+
+LONGEST_SPREAD = Duration(1_000)
+"""Most by which an entry VM waits longer; requests of all VMs spread well over it."""
+
 BEGUN_ANSWER_GRACE = Duration(150)
 """Time after the deadline for the rest of an answer that has begun, as answers that are ready are
 delivered; requests may be held a quarter of a second too long (the users' price)."""
@@ -219,7 +226,15 @@
 
     def _allowed(self, demanded: Demanded, again: bool) -> Sequence[Backend]:
         name = demanded.service.name
-        return self._gate.allowed(name, self._backends.of_service(name), again)
+        allowed = self._gate.allowed(name, self._backends.of_service(name), again)
+        now_ms = self._clock.elapsed_ms()
+        return [backend for backend in allowed if not backend.is_closed(now_ms)]
+
+    def opens_in(self, demanded: Demanded) -> Duration:
+        """Return when the first backend server takes requests again; 0 if one does now."""
+        backends = self._backends.of_service(demanded.service.name)
+        opens_ms = min((b.closed_until_ms for b in backends), default=0)
+        return Duration(max(0, opens_ms - self._clock.elapsed_ms()))
 
     def begin(
         self,
@@ -344,10 +359,21 @@
             raise Lost(Loss.BROKEN, str(exc)) from exc
         self._backends.on_heard(backend)
         terms = self._dialect.answer_terms(answer.status, dict(answer.headers))
-        self._backends.on_load(backend, terms.load)
+        self._note_terms(backend, terms)
         self._check(demanded, backend, exchange, answer, terms)
         return Attempt(backend, exchange, answer)
 
+    def _note_terms(self, backend: Backend, terms: AnswerTerms) -> None:
+        self._backends.on_load(backend, terms.load)
+        if terms.other_backend:
+            return
+        if terms.leaving:
+            self._backends.on_leaving(backend)
+        if terms.closed_for is not None:
+            longest_ms = min(terms.closed_for * OPENING_SPREAD, LONGEST_SPREAD)
+            spread_ms = int(longest_ms * self._rng.random())
+            self._backends.on_closed(backend, Duration(terms.closed_for + spread_ms))
+
     def _check(
         self,
         demanded: Demanded,
--- a/packages/relay/src/nutmegdrum_relay/dialect.py
+++ b/packages/relay/src/nutmegdrum_relay/dialect.py
@@ -80,12 +80,18 @@
         Whether the backend server states that it did not run the request.
     other_backend : bool
         Whether another backend server has the address now.
+    leaving : bool
+        Whether the backend server says that it leaves.
+    closed_for : Duration or None
+        Time for which it wants no request from this VM.
     """
 
     request_id: str
     not_run: bool
     other_backend: bool
     load: Load | None
+    leaving: bool = False
+    closed_for: Duration | None = None
 
 
 class Listed(NamedTuple):
--- a/packages/relay/src/nutmegdrum_relay/headers.py
+++ b/packages/relay/src/nutmegdrum_relay/headers.py
@@ -1,5 +1,10 @@
 """Headers that concern one connection only and are never passed on."""
 
+import math
+
+from nutmegdrum.units import Duration
+
+from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import Headers
 
 CONNECTION_HEADERS = frozenset(
@@ -20,6 +25,27 @@
 """Names in lower case (RFC 9110, section 7.6.1); lengths are set anew for each connection."""
 
 
+_MS_PER_S = 1_000
+
+LONGEST_LOGGED = 64
+"""Characters of an unreadable header that a log line shows."""
+
+
+def retry_after(value: str) -> Duration | None:
+    """Return the time that a `Retry-After` in seconds says, fractions included.
+
+    A date, or what is no time, counts as none: clocks of backend servers are not trusted.
+    """
+    try:
+        seconds = float(value) if value.isascii() else math.nan
+    except ValueError:
+        seconds = math.nan
+    if not math.isfinite(seconds) or seconds < 0:
+        log_decision("retry_after_unreadable", value=value[:LONGEST_LOGGED])
+        return None
+    return Duration(math.ceil(seconds * _MS_PER_S))
+
+
 def answer_headers(headers: Headers) -> Headers:
     """Return the headers of a backend server's answer that go to the caller."""
     named = _named_by_connection(headers)
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -97,4 +97,5 @@
             self._attempts.end(demanded, attempt, keep, failed)
 
     def _give_up(self, demanded: Demanded, tries: Tries, left: Duration) -> Whole:
-        raise tries.refusal(demanded.route, left, v.OUTCOME_UNKNOWN)
+        opens_in = self._attempts.opens_in(demanded)
+        raise tries.refusal(demanded.route, left, v.OUTCOME_UNKNOWN, opens_in)
--- a/packages/relay/src/nutmegdrum_relay/retry_policy.py
+++ b/packages/relay/src/nutmegdrum_relay/retry_policy.py
@@ -90,16 +90,21 @@
         """Return what became of the request, with the time that is left."""
         return Progress(self.sent, self.unsent, left)
 
-    def refusal(self, route: Route, left: Duration, lost: Reason) -> Refusal:
+    def refusal(
+        self, route: Route, left: Duration, lost: Reason, opens_in: Duration = Duration(0)
+    ) -> Refusal:
         """Return the refusal of a request that is given up.
 
         Parameters
         ----------
         lost : Reason
             Why, if the request may have run and there is time left.
+        opens_in : Duration
+            Time until the first backend server takes requests again.
         """
         if self.verdict is Verdict.NOT_RUN:
-            return Refusal(NO_BACKEND, self.verdict, int(come_back_after(route)))
+            come_back = max(come_back_after(route), opens_in)
+            return Refusal(NO_BACKEND, self.verdict, int(come_back))
         return Refusal(DEADLINE_UNREACHABLE if left <= 0 else lost, self.verdict)
 
 
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -213,7 +213,8 @@
                 time_left_ms=int(left),
             )
             raise CallerGone
-        raise run.tries.refusal(demanded.route, left, v.BACKEND_LOST)
+        opens_in = self._attempts.opens_in(demanded)
+        raise run.tries.refusal(demanded.route, left, v.BACKEND_LOST, opens_in)
 
 
 def _follows(event_id: str, last_id: str) -> bool:
--- a/packages/relay/tests/test_relay.py
+++ b/packages/relay/tests/test_relay.py
@@ -13,7 +13,8 @@
 from nutmegdrum_relay.documents import RouteKind
 from nutmegdrum_relay.stream_relay import EVENT_TIMEOUT
 from nutmegdrum_relay.views import ControlView, Quarantined, VersionShare, VersionShares
-from nutmegdrum_testing.relay_world import HOST, KEY, SERVICE, RelayWorld, document, route
+from nutmegdrum_testing.relay_calls import answers, connect, get, headers, numbers
+from nutmegdrum_testing.relay_world import KEY, SERVICE, RelayWorld, document, route
 from nutmegdrum_testing.waiting import wait_for
 
 
@@ -31,28 +32,6 @@
     world.stop()
 
 
-def connect(world) -> http.client.HTTPConnection:
-    return http.client.HTTPConnection(world.address.host, world.address.port, timeout=10)
-
-
-def headers(**extra: str) -> dict[str, str]:
-    named = {name.replace("_", "-"): value for name, value in extra.items()}
-    return {"Host": HOST, "X-Id": "q1", "X-Key": KEY, **named}
-
-
-def get(world, path: str, method: str = "GET", body: bytes | None = None, **extra: str):
-    conn = connect(world)
-    conn.request(method, path, body, headers(**extra))
-    resp = conn.getresponse()
-    answer = resp.status, dict(resp.getheaders()), resp.read()
-    conn.close()
-    return answer
-
-
-def answers(status: int, body: bytes = b"", **named: str):
-    return lambda received: received.answer(status, body, X_Id=received.headers["x-id"], **named)
-
-
 def raw(world, data: bytes) -> bytes:
     with socket.create_connection((world.address.host, world.address.port), timeout=10) as sock:
         sock.sendall(data)
@@ -296,10 +275,6 @@
         assert json.loads(body)["verdict"] == "may-have-run"
 
 
-def numbers(body: bytes) -> list[int]:
-    return [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
-
-
 def engine(upto: int, breaks_after: int | None = None, torn: bool = False):
     """Return a script that goes on after the last event, and may crash on its first stream."""
     state = {"breaks": breaks_after}
--- /dev/null
+++ b/packages/testing/src/nutmegdrum_testing/relay_calls.py
@@ -0,0 +1,43 @@
+"""Calls of a relay in this process, and scripts of plain answers for its backend servers."""
+
+import http.client
+
+from nutmegdrum_testing.relay_world import HOST, KEY, RelayWorld
+from nutmegdrum_testing.scripted_backend import Script
+
+CALL_TIMEOUT_S = 10
+
+
+def connect(world: RelayWorld) -> http.client.HTTPConnection:
+    """Return a connection to the relay."""
+    return http.client.HTTPConnection(
+        world.address.host, world.address.port, timeout=CALL_TIMEOUT_S
+    )
+
+
+def headers(**extra: str) -> dict[str, str]:
+    """Return a caller's headers; underscores in names stand for dashes."""
+    named = {name.replace("_", "-"): value for name, value in extra.items()}
+    return {"Host": HOST, "X-Id": "q1", "X-Key": KEY, **named}
+
+
+def get(
+    world: RelayWorld, path: str, method: str = "GET", body: bytes | None = None, **extra: str
+) -> tuple[int, dict[str, str], bytes]:
+    """Return status, headers and body of the answer to one call on a connection of its own."""
+    conn = connect(world)
+    conn.request(method, path, body, headers(**extra))
+    resp = conn.getresponse()
+    answer = resp.status, dict(resp.getheaders()), resp.read()
+    conn.close()
+    return answer
+
+
+def answers(status: int, body: bytes = b"", **named: str) -> Script:
+    """Return a script that answers each request alike, with its id."""
+    return lambda received: received.answer(status, body, X_Id=received.headers["x-id"], **named)
+
+
+def numbers(body: bytes) -> list[int]:
+    """Return the ids of a stream's events."""
+    return [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
--- a/packages/testing/src/nutmegdrum_testing/relay_dialect.py
+++ b/packages/testing/src/nutmegdrum_testing/relay_dialect.py
@@ -14,7 +14,7 @@
     RequestTerms,
 )
 from nutmegdrum_relay.documents import DocumentCodec
-from nutmegdrum_relay.headers import CONNECTION_HEADERS
+from nutmegdrum_relay.headers import CONNECTION_HEADERS, retry_after
 
 _OWN = frozenset(
     {"x-key", "x-left", "x-backend", "x-workspace", "x-copy-to", "x-copy-at", "x-last"}
@@ -66,6 +66,8 @@
             not_run="x-not-run" in lower,
             other_backend="x-other" in lower,
             load=None,
+            leaving="x-leaving" in lower,
+            closed_for=retry_after(lower["retry-after"]) if "retry-after" in lower else None,
         )
 
     def listing_target(self, token: str) -> str:
