Judge attempts that still wait for their first event in a roll-out

An attempt counted once its first event or end had come, so a slow version's evidence came when the roll-out was over, and callers or time-outs that ended it left none. Of the suspected causes this one is enough; the doubts that begin anew at 3/8 and 5/8 hid what waits there were. Not the cause: warm-up (the model has none), shares that rise on requests seen (they rise the same way for good versions).

Now entry VMs count each attempt at wait marks while it waits, and the leader compares those that waited 2.5 times the usual median with those answered sooner, by route and over all, as long as the usual version's waits are short.

Tests that call VersionTally.take now give the time, and check what they did.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -20,7 +20,7 @@
 from nutmegdrum_relay.running import Running
 from nutmegdrum_relay.upstream import Answer, Broken, Exchange, NotSent, Upstream
 from nutmegdrum_relay.version_gate import VersionGate
-from nutmegdrum_relay.version_tally import Tallied
+from nutmegdrum_relay.version_tally import Tallied, Waiting
 from nutmegdrum_relay.views import NO_WORK, Work
 
 FAILED_STATUS = 500
@@ -121,6 +121,8 @@
     ----------
     tallied : Tallied or None
         What it counts for in a version's trial.
+    waiting : Waiting or None
+        Its wait for the first event, if that counts.
     begun_ms, heard_ms : int
         Elapsed time in ms at its sending, and at the last piece of its stream.
     events : int
@@ -133,6 +135,7 @@
     copy: Backend | None = None
     work: Work = NO_WORK
     tallied: Tallied | None = None
+    waiting: Waiting | None = None
     begun_ms: int = 0
     heard_ms: int | None = None
     events: int = 0
@@ -272,9 +275,11 @@
         self._note_changed(work)
         tallied = self._gate.tallied(demanded.route.name, backend)
         begun_ms = self._clock.elapsed_ms()
+        waiting = self._begin_wait(backend, tallied, begun_ms)
         try:
             exchange = self._open(demanded, backend)
         except Lost as lost:
+            self._end_wait(waiting, answered=False)
             self._tally_loss(demanded, tallied, lost)
             self._backends.remove(backend, work)
             self._note_changed(work)
@@ -309,16 +314,19 @@
             )
             attempt = self._exchange(demanded, backend, exchange, headers, timeout)
         except Lost as lost:
+            self._end_wait(waiting, answered=False)
             self._tally_loss(demanded, tallied, lost)
             if lost.loss is Loss.BROKEN and not exchange.aborted:
                 self._watch_broken(demanded, backend, begun_ms)
             self._end(demanded, backend, exchange, work, keep=lost.loss is Loss.NOT_RUN)
             raise
         except Exception:
+            self._end_wait(waiting, answered=False)
             self._end(demanded, backend, exchange, work, keep=False)
             raise
         attempt.work = work
         attempt.tallied = tallied
+        attempt.waiting = waiting
         attempt.begun_ms = begun_ms
         if copy_to is not None:
             attempt.copy = copy_to
@@ -434,6 +442,7 @@
     def end(self, demanded: Demanded, attempt: Attempt, keep: bool, failed: bool) -> None:
         """End an attempt; `keep` says that its answer was read to the end."""
         self._backends.on_answer(attempt.backend, failed)
+        self._end_wait(attempt.waiting, answered=not failed)
         self._tally_end(demanded, attempt, failed)
         if not failed:
             self._crash_watch.on_success(demanded.fingerprint)
@@ -458,6 +467,16 @@
             )
         )
 
+    def _begin_wait(self, backend: Backend, tallied: Tallied | None, now_ms: int) -> Waiting | None:
+        # A version is not slow for a backend server that has just started.
+        if tallied is None or backend.listed.warming_up:
+            return None
+        return self._gate.tally.on_sent(tallied, now_ms)
+
+    def _end_wait(self, waiting: Waiting | None, answered: bool) -> None:
+        if waiting is not None:
+            self._gate.tally.on_wait_over(waiting, self._clock.elapsed_ms(), answered)
+
     def _tally_loss(self, demanded: Demanded, tallied: Tallied | None, lost: Lost) -> None:
         if tallied is None or demanded.gone:
             return
@@ -468,6 +487,7 @@
 
     def _tally_piece(self, attempt: Attempt) -> None:
         now_ms = self._clock.elapsed_ms()
+        self._end_wait(attempt.waiting, answered=True)
         if attempt.tallied is None:
             pass
         elif attempt.heard_ms is None:
--- a/packages/relay/src/nutmegdrum_relay/fleet_work.py
+++ b/packages/relay/src/nutmegdrum_relay/fleet_work.py
@@ -128,7 +128,7 @@
                 listing=self._backends.listing_name,
                 asks_work=asks_work,
                 shares=self._gate.number,
-                samples=self._gate.tally.take(),
+                samples=self._gate.tally.take(self._clock.elapsed_ms()),
                 crashes=crashes,
                 cleared=cleared,
             )
--- a/packages/relay/src/nutmegdrum_relay/rollout_steps.py
+++ b/packages/relay/src/nutmegdrum_relay/rollout_steps.py
@@ -5,6 +5,7 @@
 gets more only once it was seen on each route without a fault.
 """
 
+from bisect import bisect_left
 from collections import Counter, deque
 from statistics import median
 from typing import NamedTuple
@@ -18,6 +19,7 @@
 from nutmegdrum_relay.documents import RouteName
 from nutmegdrum_relay.rollouts import EndRollout, Rollout, SetShare
 from nutmegdrum_relay.version_gate import SETTLED
+from nutmegdrum_relay.version_tally import WAIT_MARKS_MS
 from nutmegdrum_relay.views import VersionSample
 
 FIRST_SHARE_PPM = PPM // 20
@@ -69,6 +71,11 @@
 """Newest times that count, how many are needed, and how many times the usual median theirs is from
 which a version gets no more requests for now; bad versions take several times as long."""
 
+DOUBT_MIN_WAITS = 2
+USUAL_LONG_PART = 4
+"""Attempts that must have waited too long, and what part of the usual version's attempts may do so
+without waits being long for another reason."""
+
 JUDGED_FROM = (0.0, 0.375, 0.625)
 """Parts of a roll-out's time at which a judgement begins: evidence from a time at which the version
 was sound would hide a fault that comes later. The error rate counts for each."""
@@ -101,7 +108,7 @@
     def __init__(self, rollout: Rollout, judges: JudgeFactory):
         self._duration_ms = rollout.duration_ms
         self._judge = _Judges(rollout, judges)
-        self._doubts = _Doubts()
+        self._doubts = [_Doubts()]
         self._comparator = Comparator(rollout.target, SETTLED, self._judge, WINDOW_MS, CARRY_MS)
         self._trial: Counter[RouteName] = Counter()
         self._all: Counter[RouteName] = Counter()
@@ -110,7 +117,8 @@
 
     def note(self, now_ms: ElapsedMs, rollout: Rollout, sample: VersionSample) -> None:
         """Take in one sample of an entry VM."""
-        self._doubts.note(sample)
+        for doubts in self._doubts:
+            doubts.note(sample)
         self._all[sample.route] += sample.requests
         self._expected[sample.route] += sample.requests * rollout.share_ppm
         if sample.version == rollout.target:
@@ -124,7 +132,7 @@
         if self._since is None:
             self._since = log_ms
         if self._judge.begin(log_ms):
-            self._doubts = _Doubts()
+            self._doubts.append(_Doubts())
         alone = rollout.share_ppm >= PPM and fleet.following
         self._comparator.close_windows(now_ms, alone)
         finding = self._judge.finding()
@@ -132,7 +140,7 @@
             return _end(rollout, MoveState.TAKEN_BACK, str(finding))
         lasted_ms = log_ms - rollout.started
         done_ms = self._duration_ms - (1 - DONE_AT) * _tail_ms(self._duration_ms)
-        if lasted_ms >= done_ms and self._doubted():
+        if lasted_ms >= done_ms and (self._doubted() or self._doubts[0].waits_long(1)):
             # The order gives no time to find out more, and a version is not left half tried.
             return _end(rollout, MoveState.TAKEN_BACK, "more faults than usual, or slower")
         if not fleet.serving:
@@ -177,7 +185,11 @@
         return fleet.following and not self._doubted() and self._shown()
 
     def _doubted(self) -> bool:
-        return self._judge.suspicious() or self._doubts.any()
+        return self._judge.suspicious() or self._doubts[-1].any() or self._waits_long()
+
+    def _waits_long(self) -> bool:
+        # Waits at the end of a roll-out are those of attempts that were sent well before.
+        return any(doubts.waits_long(DOUBT_MIN_WAITS) for doubts in self._doubts)
 
     def _shown(self) -> bool:
         """Return whether the version was seen on each route as often as its share makes likely."""
@@ -195,6 +207,8 @@
         self._requests: Counter[VersionName] = Counter()
         self._faults: Counter[VersionName] = Counter()
         self._times: dict[tuple[RouteName, VersionName], deque[int]] = {}
+        self._passed: dict[tuple[RouteName, VersionName], Counter[int]] = {}
+        self._answered: dict[tuple[RouteName, VersionName], Counter[int]] = {}
 
     def note(self, sample: VersionSample) -> None:
         """Take in one sample of an entry VM."""
@@ -203,6 +217,8 @@
         key = (sample.route, sample.version)
         times = self._times.setdefault(key, deque(maxlen=DOUBT_TIMES))
         times.extend(sample.first_token_ms)
+        self._passed.setdefault(key, Counter()).update(sample.passed)
+        self._answered.setdefault(key, Counter()).update(sample.answered)
 
     def any(self) -> bool:
         """Return whether the version has clearly more faults, or takes clearly longer."""
@@ -226,6 +242,43 @@
                 return True
         return False
 
+    def waits_long(self, at_least: int) -> bool:
+        """Return whether most of the version's attempts wait long, on a route or on all together.
+
+        An attempt that still waits speaks for itself as soon as it has waited too long, while its
+        time would be known only at its end.
+
+        Parameters
+        ----------
+        at_least : int
+            Attempts that must have waited long.
+        """
+        all_long = all_short = 0
+        for (route, version), passed in self._passed.items():
+            mark = self._long_wait(route)
+            if version == SETTLED or mark is None:
+                continue
+            long = passed[mark]
+            short = self._short_waits((route, version), mark)
+            if long >= at_least and long > short:
+                return True
+            all_long += long
+            all_short += short
+        return all_long >= at_least and all_long > all_short
+
+    def _long_wait(self, route: RouteName) -> int | None:
+        """Return the wait mark past which an attempt takes too long; None if that isn't known."""
+        settled = (route, SETTLED)
+        times = self._times.get(settled)
+        if not times:
+            return None
+        mark = bisect_left(WAIT_MARKS_MS, DOUBT_SLOWNESS * median(times))
+        usual = self._passed[settled][mark] * USUAL_LONG_PART > self._short_waits(settled, mark)
+        return None if usual or mark == len(WAIT_MARKS_MS) else mark
+
+    def _short_waits(self, key: tuple[RouteName, VersionName], mark: int) -> int:
+        return sum(count for passed, count in self._answered[key].items() if passed <= mark)
+
 
 class _Judges:
     """Judges of one roll-out, each with the evidence from its beginning on."""
--- a/packages/relay/src/nutmegdrum_relay/version_tally.py
+++ b/packages/relay/src/nutmegdrum_relay/version_tally.py
@@ -1,6 +1,9 @@
 """Counts of what versions under trial do on this entry VM, for the state leader to judge."""
 
+import itertools
 import threading
+from bisect import bisect_right
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from nutmegdrum_coord.ids import ServiceName, VersionName
@@ -20,6 +23,29 @@
     version: VersionName
 
 
+WAIT_MARKS_MS = tuple(int(100 * 1.5**number) for number in range(14))
+"""Waits for a first event that are counted, in ms, up to 19 s: from a short plain answer to more
+than callers wait for a stream. A wait is told to within a half."""
+
+
+@dataclass(eq=False)
+class Waiting:
+    """An attempt that waits for its first event.
+
+    Attributes
+    ----------
+    sent_ms : int
+        Elapsed time in ms at its sending.
+    passed : int
+        Wait marks that it has passed and that were counted.
+    """
+
+    tallied: Tallied
+    number: int
+    sent_ms: int
+    passed: int = 0
+
+
 class VersionTally:
     """Counts by service, route and version since the last report; thread-safe.
 
@@ -30,6 +56,26 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._samples: dict[Tallied, VersionSample] = {}
+        self._waiting: dict[int, Waiting] = {}
+        self._numbers = itertools.count()
+
+    def on_sent(self, tallied: Tallied, now_ms: int) -> Waiting:
+        """Note an attempt whose wait is counted while it lasts; `on_wait_over` must follow."""
+        with self._lock:
+            waiting = Waiting(tallied, next(self._numbers), now_ms)
+            self._waiting[waiting.number] = waiting
+        return waiting
+
+    def on_wait_over(self, waiting: Waiting, now_ms: int, answered: bool) -> None:
+        """Note the end of a wait, and whether the first event came; later calls do nothing."""
+        with self._lock:
+            if self._waiting.pop(waiting.number, None) is None:
+                return
+            self._pass_marks(waiting, now_ms)
+            if answered:
+                sample = self._sample(waiting.tallied)
+                count = sample.answered.get(waiting.passed, 0)
+                sample.answered[waiting.passed] = count + 1
 
     def on_first(self, tallied: Tallied, ms: int | None) -> None:
         """Count an attempt that answered after `ms`; None if that time says nothing."""
@@ -60,12 +106,21 @@
             sample.requests += not counted
             sample.crashes += 1
 
-    def take(self) -> tuple[VersionSample, ...]:
-        """Return the counts, and begin anew."""
+    def take(self, now_ms: int) -> tuple[VersionSample, ...]:
+        """Return the counts, with those of attempts that wait at `now_ms`, and begin anew."""
         with self._lock:
+            for waiting in self._waiting.values():
+                self._pass_marks(waiting, now_ms)
             samples, self._samples = self._samples, {}
         return tuple(samples.values())
 
+    def _pass_marks(self, waiting: Waiting, now_ms: int) -> None:
+        marks = bisect_right(WAIT_MARKS_MS, now_ms - waiting.sent_ms)
+        for mark in range(waiting.passed, marks):
+            passed = self._sample(waiting.tallied).passed
+            passed[mark] = passed.get(mark, 0) + 1
+        waiting.passed = marks
+
     def _sample(self, tallied: Tallied) -> VersionSample:
         sample = self._samples.get(tallied)
         if sample is None:
--- a/packages/relay/src/nutmegdrum_relay/views.py
+++ b/packages/relay/src/nutmegdrum_relay/views.py
@@ -98,12 +98,19 @@
     ----------
     version : VersionName
         Version under trial, or empty for all others.
+    passed : dict
+        Attempts that waited for their first event for as long as each wait mark, by its number,
+        answered or not.
+    answered : dict
+        Attempts whose first event came, by the number of wait marks that they had passed.
     """
 
     service: ServiceName
     route: RouteName
     version: VersionName
     load_permille: int = 0
+    passed: dict[int, int] = {}
+    answered: dict[int, int] = {}
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/relay/tests/test_relay.py
+++ b/packages/relay/tests/test_relay.py
@@ -482,7 +482,7 @@
             get(world, "/non-idempotent/x", "POST")
         assert 5 <= len(new.received) <= 35
         assert len(old.received) + len(new.received) == 40
-        by_version = {sample.version: sample for sample in world.gate.tally.take()}
+        by_version = {sample.version: sample for sample in world.gate.tally.take(0)}
         assert by_version["v2"].errors == by_version["v2"].requests == len(new.received)
         assert by_version[""].requests == len(old.received)
         assert by_version[""].errors == 0
@@ -494,7 +494,7 @@
         self.share(world, PPM // 2)
         for _ in range(20):
             assert get(world, "/idempotent/x")[::2] == (200, b"old")
-        by_version = {sample.version: sample for sample in world.gate.tally.take()}
+        by_version = {sample.version: sample for sample in world.gate.tally.take(0)}
         assert by_version["v2"].crashes == by_version["v2"].requests > 0
 
     def test_a_version_that_was_taken_back_is_never_asked(self, world):
@@ -505,6 +505,30 @@
         assert get(world, "/idempotent/x")[::2] == (200, b"old")
         assert new.received == []
 
+    def test_a_stream_that_waits_for_its_first_event_counts_by_its_wait(self, world):
+        go_on = threading.Event()
+
+        def stream(received):
+            received.start_events(X_Id="q1")
+            go_on.wait(10)
+            received.event(1)
+            received.end_events()
+
+        (new,) = world.add(stream, version="v2")
+        self.share(world, PPM)
+        caller = threading.Thread(target=lambda: get(world, "/stream/x", "POST"))
+        caller.start()
+        wait_for(lambda: new.received)
+        sent_ms = world.clock.elapsed_ms()
+        (sample,) = world.gate.tally.take(sent_ms + 4_000)
+        assert sample.passed == dict.fromkeys(sample.passed, 1)
+        assert len(sample.passed) >= 9
+        go_on.set()
+        caller.join()
+        (sample,) = world.gate.tally.take(sent_ms + 60_000)
+        assert sum(sample.answered.values()) == 1
+        assert not sample.passed
+
     def test_a_stream_counts_with_its_first_event(self, world):
         go_on = threading.Event()
 
@@ -518,12 +542,12 @@
         self.share(world, PPM // 2)
         with ThreadPoolExecutor(1) as pool:
             fut = pool.submit(get, world, "/stream/x", "POST")
-            sample = wait_for(world.gate.tally.take)[0]
+            sample = wait_for(lambda: world.gate.tally.take(0))[0]
             assert (sample.version, sample.requests, sample.crashes) == ("v2", 1, 0)
             go_on.set()
             with contextlib.suppress(http.client.HTTPException, OSError):
                 fut.result(10)
-        assert wait_for(world.gate.tally.take)[0].crashes >= 1
+        assert wait_for(lambda: world.gate.tally.take(0))[0].crashes >= 1
 
 
 class TestCrashingRequests:
--- a/packages/relay/tests/test_rollout_steps.py
+++ b/packages/relay/tests/test_rollout_steps.py
@@ -22,12 +22,16 @@
     Case("slow", slow(4), 80, SHORT_MS),
     Case("slow on one route", slow(3, route="stream"), 80, LONG_MS),
     Case("slow later", slow(4, after=0.5), 80, LONG_MS),
+    Case("slow, few requests", slow(8), 2, 15_000, entry_vms=6),
+    Case("slow by four, few requests", slow(4), 2, 15_000, entry_vms=6),
+    Case("slow later, few requests", slow(8, after=0.5), 2, 15_000, entry_vms=6),
     Case("fails before 200 entry VMs", failing(0.3), 80, SHORT_MS, entry_vms=200),
     Case("fails while the leader is lost", failing(0.3), 80, SHORT_MS, leader_lost=0.3),
     Case("fails while VMs are cut off", failing(0.3), 80, SHORT_MS, cut_off=0.3),
 ]
 
 GOOD = [
+    Case("two requests a second", good, 2, 15_000, entry_vms=6),
     Case("few requests", good, 4, SHORT_MS),
     Case("some requests", good, 40, SHORT_MS),
     Case("many requests", good, 300, SHORT_MS),
--- a/packages/testing/src/nutmegdrum_testing/rollout_order_world.py
+++ b/packages/testing/src/nutmegdrum_testing/rollout_order_world.py
@@ -26,6 +26,7 @@
 from nutmegdrum_relay.rollouts import Rollout, Rollouts, StartRollout
 from nutmegdrum_relay.shared_listing import ListingShare
 from nutmegdrum_relay.version_gate import VersionGate
+from nutmegdrum_relay.version_tally import Waiting
 from nutmegdrum_relay.views import EntryReport
 
 SERVICE = ServiceName("svc")
@@ -291,7 +292,7 @@
             version=1,
             wait_ms=wait_ms,
             shares=entry.gate.number,
-            samples=entry.gate.tally.take(),
+            samples=entry.gate.tally.take(now_ms),
         )
         self._reports.note(report)
         self._leader.note(report.samples)
@@ -308,7 +309,9 @@
         after = (now_ms - self._order_ms) / self._case.duration_ms
         behaviour = self._case.behaviour if new else good
         answer = behaviour(Asked(route, after, self._load(now_ms, backend.id), self._rng))
-        self._after(answer.ms, lambda: self._answered(entry, route, backend, answer))
+        tallied = entry.gate.tallied(route, backend)
+        waiting = entry.gate.tally.on_sent(tallied, now_ms) if tallied is not None else None
+        self._after(answer.ms, lambda: self._answered(entry, route, backend, answer, waiting))
 
     def _count(self, now_ms: int, exposed: bool) -> None:
         in_time = now_ms <= self._order_ms + self._case.duration_ms
@@ -324,8 +327,16 @@
         return sum(each == backend for _, each in self._recent) / usual
 
     def _answered(
-        self, entry: _EntryVm, route: RouteName, backend: Backend, answer: Answer
+        self,
+        entry: _EntryVm,
+        route: RouteName,
+        backend: Backend,
+        answer: Answer,
+        waiting: Waiting | None,
     ) -> None:
+        if waiting is not None:
+            now_ms = self._clock.elapsed_ms()
+            entry.gate.tally.on_wait_over(waiting, now_ms, answered=not answer.error)
         if backend.listed.version == NEW:
             usual_ms = 45 if route == PLAIN else 1_000
             self._bad += answer.error or answer.ms > 3 * usual_ms
