Take a request that ran well a moment before for a victim of a crash

Cause: a culprit's attempts ended one engine after the other within 60 ms. The lookup ran on each of them, so its crashes were counted like the culprit's, and no run could go well in between to clear it, as all engines were gone until the list was read again. Leaders clear only what VMs have been told is suspected.

Now an entry VM on which a request went well in the last 10 s does not report a crash of it (crash_ruled_out reason=ran-well-lately). A request that ends each server that runs it has no such run.

Ruled out: counting only crashes that no other suspect shares, as then neither is named while a popular request is about, and the users' bound goes.

Test: test_a_request_that_ran_well_a_moment_before_is_a_victim, which the code before fails as it knows no successes.

--- a/packages/relay/src/nutmegdrum_relay/crash_watch.py
+++ b/packages/relay/src/nutmegdrum_relay/crash_watch.py
@@ -10,6 +10,7 @@
 import contextlib
 import queue
 import threading
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -37,6 +38,13 @@
 
 MAX_REPORTS = 256
 
+RECENT_SUCCESS = Duration(10_000)
+"""Time for which a run that went well speaks for its request: a popular one runs on every server
+that another request ends, and on others a moment before."""
+
+MAX_SUCCESSES = 10_000
+"""Requests whose last success is kept; one entry VM ends fewer in `RECENT_SUCCESS`."""
+
 
 class BrokenAttempt(NamedTuple):
     """Attempt that its backend server broke off.
@@ -86,6 +94,7 @@
         self._told: frozenset[Fingerprint] = frozenset()
         self._crashes: list[_Crash] = []
         self._cleared: list[Fingerprint] = []
+        self._successes: OrderedDict[Fingerprint, int] = OrderedDict()
         self._waiting: queue.Queue[tuple[BrokenAttempt, int]] = queue.Queue(MAX_WAITING)
         self._loop = Loop("crashes", self._look)
         self.start = self._loop.start
@@ -113,6 +122,9 @@
 
     def on_broken(self, attempt: BrokenAttempt) -> None:
         """Look soon whether the backend server of an attempt has died."""
+        if self._ran_well_lately(attempt.fingerprint):
+            _log_ruled_out(attempt, "ran-well-lately")
+            return
         try:
             self._waiting.put_nowait((attempt, self._clock.elapsed_ms()))
         except queue.Full:
@@ -120,9 +132,13 @@
 
     def on_success(self, fingerprint: Fingerprint) -> None:
         """Clear a request that a backend server has run well."""
-        if fingerprint not in self._told:
-            return
         with self._lock:
+            self._successes[fingerprint] = self._clock.elapsed_ms()
+            self._successes.move_to_end(fingerprint)
+            if len(self._successes) > MAX_SUCCESSES:
+                self._successes.popitem(last=False)
+            if fingerprint not in self._told:
+                return
             self._told -= {fingerprint}
             if len(self._cleared) < MAX_REPORTS:
                 self._cleared.append(fingerprint)
@@ -185,6 +201,11 @@
                 "quarantine_in_force", fingerprint=view.fingerprint, remaining_ms=view.remaining_ms
             )
 
+    def _ran_well_lately(self, fingerprint: Fingerprint) -> bool:
+        with self._lock:
+            success_ms = self._successes.get(fingerprint)
+        return success_ms is not None and self._clock.elapsed_ms() - success_ms < RECENT_SUCCESS
+
     def _look(self) -> Duration:
         """Look at all attempts that wait, once at each address: one death breaks many off."""
         waiting = [self._waiting.get()]
--- a/packages/relay/tests/test_crash_watch.py
+++ b/packages/relay/tests/test_crash_watch.py
@@ -8,6 +8,7 @@
 from nutmegdrum_relay.crash_watch import (
     MAX_REPORTS,
     MAX_WAITING,
+    RECENT_SUCCESS,
     BrokenAttempt,
     CrashWatch,
     server_has_ended,
@@ -82,6 +83,16 @@
         wait_for(lambda: len(world.crashes()) == 10)
         assert world.probe.asked.count(DEAD) <= 2
 
+    def test_a_request_that_ran_well_a_moment_before_is_a_victim(self, world):
+        world.watch.on_success("popular")
+        world.watch.on_broken(broken("dead", DEAD, 9_900, "popular"))
+        world.watch.on_broken(broken("dead", DEAD, 9_900, "culprit"))
+        wait_for(world.crashes)
+        assert [crash.fingerprint for crash in world.told] == ["culprit"]
+        world.clock.advance(RECENT_SUCCESS)
+        world.watch.on_broken(broken("dead", DEAD, 19_900, "popular"))
+        wait_for(lambda: len(world.crashes()) == 2)
+
     def test_what_no_leader_took_is_told_again_with_its_age(self, world):
         world.watch.on_broken(broken("dead", DEAD, began_ms=9_900))
         (crash,) = wait_for(world.crashes)
