Send a request that ends its engines in the soak

After the faults a stream that ends each engine after its first event is sent ten times by turns at the three entry VMs; of engines that end later than 3 s after the third at most three may, and the last send must be refused (the users' bound on crashing requests).

The links before the soak's backend servers went on taking connections for servers that were gone, so no crash could ever be seen there; they refuse now, as an address whose process ended does.

--- a/packages/testing/src/nutmegdrum_testing/soak/callers.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/callers.py
@@ -77,13 +77,14 @@
             kind = rng.choice(list(Kind))
             request_id = f"{kind.value}-{next(self._ids)}"
             started = time.monotonic()
-            outcome = self._call(kind, request_id, rng.choice(self._entries))
+            outcome = self.call(kind, request_id, rng.choice(self._entries))
             took = time.monotonic() - started
             self.outcomes[f"{kind.value} {outcome}"] += 1
             if took > DEADLINE_MS / 1_000 + ANSWER_SLACK_S and self.undisturbed:
                 self.problems.append(f"{request_id} took {took:.1f} s: {outcome}")
 
-    def _call(self, kind: Kind, request_id: str, entry: Address) -> str:
+    def call(self, kind: Kind, request_id: str, entry: Address, asked: bytes = b"body") -> str:
+        """Send one request, check its answer, and return the status or why there was none."""
         conn = http.client.HTTPConnection(entry.host, entry.port, timeout=10)
         headers = {
             "Host": HOST,
@@ -94,7 +95,7 @@
             "X-Output": "100",
         }
         try:
-            conn.request("POST", f"/{kind.value}/x", b"body", headers)
+            conn.request("POST", f"/{kind.value}/x", asked, headers)
             resp = conn.getresponse()
             body = resp.read()
         except (OSError, http.client.HTTPException) as exc:
--- a/packages/testing/src/nutmegdrum_testing/soak/engines.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/engines.py
@@ -20,6 +20,9 @@
 FAULT_SHARES = {"reset": 0.03, "failure": 0.04, "full": 0.04, "break": 0.05, "noise": 0.02}
 """Shares of the requests at which a backend server misbehaves while faults are on."""
 
+CULPRIT = b"culprit"
+"""Body of a request under which each backend server ends after its first event."""
+
 FIRST_VERSION = "v1"
 BAD_FAILURES = 0.6
 """Share of its requests that a bad version answers with a failure."""
@@ -44,6 +47,7 @@
         self._bad: set[str] = set()
         self.taken: dict[str, list[float]] = {}
         self.failed: dict[str, list[float]] = {}
+        self.ended_under_culprit: list[float] = []
         self.list_server = ScriptedBackend(self._list)
         for _ in range(count):
             self.start()
@@ -70,10 +74,22 @@
         """End a backend server while it works, and start another one."""
         with self._lock:
             entry, backend, link = self._serving.pop(self._rng.randrange(len(self._serving)))
-        link.reset()
+        link.refuse()
         backend.stop()
         self.start(entry.version)
 
+    def _end_under_culprit(self, received: Received) -> None:
+        received.start_events(X_Id=received.headers.get("x-id", ""))
+        received.event(1)
+        with self._lock:
+            index = next(i for i, each in enumerate(self._serving) if received in each[1].received)
+            entry, backend, link = self._serving.pop(index)
+            self.ended_under_culprit.append(time.monotonic())
+        threading.Thread(target=backend.stop, daemon=True).start()
+        link.refuse()
+        received.reset()
+        self.start(entry.version)
+
     def start_version(self, version: str, count: int, bad: bool) -> None:
         """Start backend servers of another version, beside those that serve."""
         if bad:
@@ -137,6 +153,8 @@
                 self._note(self.failed, version)
         if received.target == "/x-report":
             received.answer(200)
+        elif received.body == CULPRIT:
+            self._end_under_culprit(received)
         elif fault == "full":
             received.answer(503, X_Not_Run="1")
         elif fault == "noise":
--- a/packages/testing/src/nutmegdrum_testing/soak/world.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/world.py
@@ -12,9 +12,9 @@
 
 from nutmegdrum_testing.link import Network
 from nutmegdrum_testing.processes import Processes, RunningProcess, free_ports
-from nutmegdrum_testing.soak.callers import Callers
+from nutmegdrum_testing.soak.callers import Callers, Kind
 from nutmegdrum_testing.soak.documents import DEPLOYMENT, IN_FORCE_S, Operator
-from nutmegdrum_testing.soak.engines import Engines
+from nutmegdrum_testing.soak.engines import CULPRIT, Engines
 from nutmegdrum_testing.soak.rollouts import RollOuts
 from nutmegdrum_testing.waiting import wait_for
 
@@ -25,6 +25,13 @@
 RECOVERY_S = 12.0
 """Time after the last fault in which all is served again (the users' bound)."""
 
+CULPRIT_SENDS = 10
+CULPRIT_PERIOD_S = 0.5
+CONTACT_S = 3.0
+MAX_LATE_CRASHES = 3
+"""Sends of a request that ends its engines, and how many engines may still end later than
+`CONTACT_S` after the third (the users' bound)."""
+
 STOP_S = 20.0
 """Time for a shutdown, several times `entry.stop_within`."""
 
@@ -159,6 +166,7 @@
         self._check_rollouts()
         before = self.callers.outcomes["stream 200"]
         self._expect("streams end", lambda: self.callers.outcomes["stream 200"] > before + 3)
+        self._check_crashing_request()
         self.callers.undisturbed = True
         self._expect("a new document is taken", self.operator.put_next)
         version = self.operator.acknowledged
@@ -175,6 +183,20 @@
             if rollout is None or rollout.target != self.roll_outs.target:
                 self.callers.problems.append(f"roll-out of {self.roll_outs.target} is lost")
 
+    def _check_crashing_request(self) -> None:
+        """Send a request that ends its engines at one entry VM after the other."""
+        outcomes = []
+        for number in range(CULPRIT_SENDS):
+            entry = self.entry_addresses[number % ENTRIES]
+            outcomes.append(self.callers.call(Kind.STREAM, f"culprit-{number}", entry, CULPRIT))
+            time.sleep(CULPRIT_PERIOD_S)
+        ended = self.engines.ended_under_culprit
+        late = [at for at in ended[3:] if at > ended[2] + CONTACT_S]
+        if len(late) > MAX_LATE_CRASHES or outcomes[-1] != "503":
+            self.callers.problems.append(
+                f"{len(ended)} engines ended under one request, {len(late)} late: {outcomes}"
+            )
+
     def _expect(self, what: str, condition) -> None:
         try:
             wait_for(condition, RECOVERY_S + SLACK_S)
