Let scripted backend servers crash in one place

Two tests spelled out the same steps (stop listening, wait until connections are refused, reset the request's own).

--- a/packages/relay/tests/test_crashing_requests.py
+++ b/packages/relay/tests/test_crashing_requests.py
@@ -1,7 +1,5 @@
 import contextlib
 import http.client
-import socket
-import threading
 
 import pytest
 from nutmegdrum_coord.clock import LogMs, SystemClock
@@ -80,9 +78,7 @@
         server = next(s for s in self._servers if received in s.received)
         self._before_end(received)
         self.ended.append(server)
-        threading.Thread(target=server.stop, daemon=True).start()
-        wait_for(lambda: not connects(server.address))
-        received.reset()
+        server.crash(received)
 
     def close(self):
         for vm in self._vms:
@@ -99,14 +95,6 @@
     return before_end
 
 
-def connects(address) -> bool:
-    try:
-        socket.create_connection((address.host, address.port), 1).close()
-    except OSError:
-        return False
-    return True
-
-
 class TestServersEnded:
     @pytest.mark.parametrize("count", [0, 1, 2, 20])
     def test_a_stream_that_ends_its_engine_after_some_events_costs_three(self, count):
--- a/packages/relay/tests/test_relay.py
+++ b/packages/relay/tests/test_relay.py
@@ -555,10 +555,7 @@
         """Return a script that breaks off, after which the backend server is gone."""
 
         def script(received):
-            backend = next(b for b in backends if received in b.received)
-            threading.Thread(target=backend.stop, daemon=True).start()
-            wait_for(lambda: not connects(backend.address))
-            received.reset()
+            next(b for b in backends if received in b.received).crash(received)
 
         return script
 
@@ -610,11 +607,3 @@
         world.add(answers(500))
         get(world, "/non-idempotent/x", "POST")
         assert world.crash_watch._waiting.empty()
-
-
-def connects(address) -> bool:
-    try:
-        socket.create_connection((address.host, address.port), 1).close()
-    except OSError:
-        return False
-    return True
