Take only plain decimal numbers as Retry-After, and tidy what was added

Read as a newcomer: Retry-After took what Python's float takes (1_000, 1e3), unlike other numbers from outside; headers.py said that it only drops headers; the look-up of a refusal stood twice in CrashWatch; may_go_on is may_send_again; the doubts of a roll-out began twice at its first decision; a bound had no line on what it bounds.

--- a/packages/coord/src/nutmegdrum_coord/quarantine.py
+++ b/packages/coord/src/nutmegdrum_coord/quarantine.py
@@ -19,6 +19,7 @@
 FEW_TOKENS = 2
 MAX_CRASHES = 4
 MAX_CRASHES_KEPT = 16
+"""Newest crashes of a request that are kept; a stream may lose engine after engine midway."""
 DIED_TOGETHER_MS = 1_000
 """Time in ms within which the deaths of a data centre's backend servers are noticed. Three crashes
 are counted within twice as long, before the users' bound on crashing requests (3 s) is over."""
--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -191,7 +191,7 @@
             candidates, demanded.demand, cache_tokens, self._near, tried, now_ms, self._rng, fresh
         )
 
-    def may_go_on(self, demanded: Demanded) -> bool:
+    def may_send_again(self, demanded: Demanded) -> bool:
         """Return whether a request may still be sent; it may have been quarantined meanwhile."""
         if not self._crash_watch.is_quarantined(demanded.fingerprint):
             return True
--- a/packages/relay/src/nutmegdrum_relay/crash_watch.py
+++ b/packages/relay/src/nutmegdrum_relay/crash_watch.py
@@ -20,6 +20,7 @@
 from nutmegdrum.view import QuarantineView
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import BackendId, Fingerprint
+from nutmegdrum_coord.verdict import Refusal
 
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.loop import Loop
@@ -108,17 +109,18 @@
         Refusal
             `QUARANTINED`, not run.
         """
-        with self._lock:
-            refusal = self._suspects.refusal(fingerprint, self._clock.elapsed_ms())
+        refusal = self._refusal(fingerprint)
         if refusal is not None:
             log_decision("quarantined_request", request=request, fingerprint=fingerprint)
             raise refusal
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Return whether a request is to be sent no more."""
+        return self._refusal(fingerprint) is not None
+
+    def _refusal(self, fingerprint: Fingerprint) -> Refusal | None:
         with self._lock:
-            refusal = self._suspects.refusal(fingerprint, self._clock.elapsed_ms())
-        return refusal is not None
+            return self._suspects.refusal(fingerprint, self._clock.elapsed_ms())
 
     def on_broken(self, attempt: BrokenAttempt) -> None:
         """Look soon whether the backend server of an attempt has died."""
--- a/packages/relay/src/nutmegdrum_relay/headers.py
+++ b/packages/relay/src/nutmegdrum_relay/headers.py
@@ -1,6 +1,7 @@
-"""Headers that concern one connection only and are never passed on."""
+"""Which headers of an answer are passed on, and what its `Retry-After` says."""
 
 import math
+import re
 
 from nutmegdrum.units import Duration
 
@@ -26,6 +27,7 @@
 
 
 _MS_PER_S = 1_000
+_SECONDS = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 LONGEST_LOGGED = 64
 """Characters of an unreadable header that a log line shows."""
@@ -36,14 +38,10 @@
 
     A date, or what is no time, counts as none: clocks of backend servers are not trusted.
     """
-    try:
-        seconds = float(value) if value.isascii() else math.nan
-    except ValueError:
-        seconds = math.nan
-    if not math.isfinite(seconds) or seconds < 0:
+    if _SECONDS.fullmatch(value.strip()) is None:
         log_decision("retry_after_unreadable", value=value[:LONGEST_LOGGED])
         return None
-    return Duration(math.ceil(seconds * _MS_PER_S))
+    return Duration(math.ceil(float(value) * _MS_PER_S))
 
 
 def answer_headers(headers: Headers) -> Headers:
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -75,7 +75,8 @@
                 raise CallerGone
             tries.note(loss)
             progress = tries.progress(demanded.left(self._clock))
-            again = may_retry(demanded.route, loss, progress) and self._attempts.may_go_on(demanded)
+            again = may_retry(demanded.route, loss, progress)
+            again = again and self._attempts.may_send_again(demanded)
             if not again or not self._may_spend(loss):
                 return failure or self._give_up(demanded, tries, progress.left)
 
--- a/packages/relay/src/nutmegdrum_relay/rollout_steps.py
+++ b/packages/relay/src/nutmegdrum_relay/rollout_steps.py
@@ -108,7 +108,7 @@
     def __init__(self, rollout: Rollout, judges: JudgeFactory):
         self._duration_ms = rollout.duration_ms
         self._judge = _Judges(rollout, judges)
-        self._doubts = [_Doubts()]
+        self._doubts: list[_Doubts] = []
         self._comparator = Comparator(rollout.target, SETTLED, self._judge, WINDOW_MS, CARRY_MS)
         self._trial: Counter[RouteName] = Counter()
         self._all: Counter[RouteName] = Counter()
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -200,7 +200,7 @@
     def _goes_on(self, demanded: Demanded, run: _Run) -> bool:
         progress = run.tries.progress(demanded.left(self._clock))
         again = may_retry(demanded.route, run.last_loss, progress)
-        return again and self._attempts.may_go_on(demanded)
+        return again and self._attempts.may_send_again(demanded)
 
     def _give_up(self, call: Call, demanded: Demanded, run: _Run, left: Duration) -> int:
         if run.head_sent:
