--- a/packages/testing/src/nutmegdrum_testing/scripted_backend.py
+++ b/packages/testing/src/nutmegdrum_testing/scripted_backend.py
@@ -8,8 +8,6 @@
 from nutmegdrum.sockets import RESET_ON_CLOSE
 from nutmegdrum.units import Address
 
-from nutmegdrum_testing.waiting import wait_for
-
 
 class Received:
     """One request as it reached the backend server.
@@ -157,18 +155,9 @@
 
     def crash(self, received: Received) -> None:
         """End as a process does that dies under a request: refuse connections, reset its own."""
-        # The listener waits for the thread that this is called on.
-        threading.Thread(target=self.stop, daemon=True).start()
-        wait_for(lambda: not self._connects())
+        self.stop()
         received.reset()
 
-    def _connects(self) -> bool:
-        try:
-            socket.create_connection((self.address.host, self.address.port), 1).close()
-        except OSError:
-            return False
-        return True
-
     def stop(self) -> None:
         """Close the listener, so that connections are refused."""
         self._server.shutdown()
--- a/packages/testing/src/nutmegdrum_testing/soak/engines.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/engines.py
@@ -73,7 +73,11 @@
     def crash(self) -> None:
         """End a backend server while it works, and start another one."""
         with self._lock:
-            entry, backend, link = self._serving.pop(self._rng.randrange(len(self._serving)))
+            ended = self._serving.pop(self._rng.randrange(len(self._serving)))
+        self._replace(*ended)
+
+    def _replace(self, entry: Listed, backend: ScriptedBackend, link: Link) -> None:
+        """End a backend server that is listed no more, and start another one."""
         link.refuse()
         backend.stop()
         self.start(entry.version)
@@ -83,12 +87,10 @@
         received.event(1)
         with self._lock:
             index = next(i for i, each in enumerate(self._serving) if received in each[1].received)
-            entry, backend, link = self._serving.pop(index)
+            ended = self._serving.pop(index)
             self.ended_under_culprit.append(time.monotonic())
-        threading.Thread(target=backend.stop, daemon=True).start()
-        link.refuse()
+        self._replace(*ended)
         received.reset()
-        self.start(entry.version)
 
     def start_version(self, version: str, count: int, bad: bool) -> None:
         """Start backend servers of another version, beside those that serve."""
