--- a/packages/coord/src/nutmegdrum_coord/ids.py
+++ b/packages/coord/src/nutmegdrum_coord/ids.py
@@ -18,6 +18,7 @@
 CommandId = NewType("CommandId", str)
 OrderId = NewType("OrderId", str)
 Fingerprint = NewType("Fingerprint", str)
+PromptPart = NewType("PromptPart", str)
 
 IncarnationId = NewType("IncarnationId", str)
 """Identity of one data folder, or of one start of a VM without a disk."""
--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -133,8 +133,9 @@
         Service, route and version that it counts for; None outside a trial.
     wait : FirstEventWait or None
         Its wait for the first event; None if that wait does not count.
-    sent_ms, last_data_ms : int
-        Elapsed time in ms when it was sent, and when the last chunk of its stream arrived.
+    sent_ms, first_data_ms, last_data_ms : int
+        Elapsed time in ms when it was sent, and when the first and the last chunk of its stream
+        arrived.
     events : int
         Complete events of its stream received so far.
     """
@@ -147,6 +148,7 @@
     tally_key: TallyKey | None = None
     wait: FirstEventWait | None = None
     sent_ms: int = 0
+    first_data_ms: int | None = None
     last_data_ms: int | None = None
     events: int = 0
 
@@ -440,6 +442,8 @@
     def on_data(self, attempt: Attempt) -> None:
         """Record a received chunk of the answer; the first one ends the prompt's prefill."""
         self._backends.on_data(attempt.backend)
+        if attempt.first_data_ms is None:
+            attempt.first_data_ms = self._clock.elapsed_ms()
         self._tally_chunk(attempt)
         if attempt.work.unread:
             read = Work(attempt.work.unread, 0)
@@ -463,13 +467,20 @@
         if not failed:
             self._crash_watch.on_success(pending.fingerprint)
         elif attempt.answer.status < FAILED_STATUS and not attempt.exchange.aborted:
-            self._report_broken(pending, attempt.backend, attempt.sent_ms, attempt.events)
+            self._report_broken(
+                pending, attempt.backend, attempt.sent_ms, attempt.events, attempt.first_data_ms
+            )
         if attempt.copy is not None:
             self._backends.change_work(attempt.copy, NO_WORK, _copy_work(pending))
         self._end(pending, attempt.backend, attempt.exchange, attempt.work, keep)
 
     def _report_broken(
-        self, pending: PendingRequest, backend: Backend, sent_ms: int, events: int = 0
+        self,
+        pending: PendingRequest,
+        backend: Backend,
+        sent_ms: int,
+        events: int = 0,
+        first_event_ms: int | None = None,
     ) -> None:
         if pending.caller_gone:
             return
@@ -480,6 +491,8 @@
                 address=backend.address,
                 sent_ms=sent_ms,
                 events=events,
+                first_event_ms=first_event_ms,
+                parts=pending.terms.shared_parts,
             )
         )
 
--- a/packages/relay/src/nutmegdrum_relay/crash_watch.py
+++ b/packages/relay/src/nutmegdrum_relay/crash_watch.py
@@ -19,7 +19,7 @@
 from nutmegdrum.units import Address, Duration
 from nutmegdrum.view import QuarantineView
 from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import BackendId, Fingerprint
+from nutmegdrum_coord.ids import BackendId, Fingerprint, PromptPart
 from nutmegdrum_coord.verdict import Refusal
 
 from nutmegdrum_relay.decisions import log_decision
@@ -57,6 +57,10 @@
         Elapsed time in ms when it was sent.
     events : int
         Events of its stream received by then.
+    first_event_ms : int or None
+        Elapsed time in ms when its first event arrived; None if none did.
+    parts : tuple of PromptPart
+        Parts of its prompt that other requests may share.
     """
 
     fingerprint: Fingerprint
@@ -64,6 +68,8 @@
     address: Address
     sent_ms: int
     events: int = 0
+    first_event_ms: int | None = None
+    parts: tuple[PromptPart, ...] = ()
 
 
 class _Crash(NamedTuple):
@@ -231,7 +237,9 @@
             "crash_seen",
             fingerprint=attempt.fingerprint,
             backend=attempt.backend,
+            parts=attempt.parts,
             events=attempt.events,
+            wrote_ms=0 if attempt.first_event_ms is None else died_ms - attempt.first_event_ms,
             age_ms=self._clock.elapsed_ms() - died_ms,
         )
         crash = _Crash(
--- a/packages/relay/src/nutmegdrum_relay/dialect.py
+++ b/packages/relay/src/nutmegdrum_relay/dialect.py
@@ -4,10 +4,20 @@
 from typing import NamedTuple, Protocol
 
 from nutmegdrum.units import Address, Duration
-from nutmegdrum_coord.ids import BackendId, DataCentre, ServiceName, VersionName, WorkspaceId
+from nutmegdrum_coord.ids import (
+    BackendId,
+    DataCentre,
+    PromptPart,
+    ServiceName,
+    VersionName,
+    WorkspaceId,
+)
 
 from nutmegdrum_relay.documents import RoutingDocument
 
+MAX_SHARED_PARTS = 32
+"""Shared parts of a prompt that are considered; prompts have a few."""
+
 Headers = list[tuple[str, str]]
 """Headers in the order and spelling in which they were sent."""
 
@@ -27,6 +37,9 @@
         Id of the last event that the caller received of this stream; empty at its start.
     prompt_tokens, output_tokens : int
         Expected size of a generation; 0 if unknown.
+    shared_parts : tuple of PromptPart
+        Parts of the prompt that other requests may share, in their order; the last part of a prompt
+        is the request's own and not among them.
     """
 
     request_id: str
@@ -35,6 +48,7 @@
     last_event_id: str
     prompt_tokens: int
     output_tokens: int
+    shared_parts: tuple[PromptPart, ...] = ()
 
 
 class AttemptTerms(NamedTuple):
