Add a failing test of requests with one deadly part

Eight different requests with one part in common, sent at three entry VMs with sound requests of the same caller and first part between them: 15 crashes of engines where the users' rule allows five.

--- a/packages/relay/tests/test_crashing_requests.py
+++ b/packages/relay/tests/test_crashing_requests.py
@@ -15,6 +15,8 @@
 VMS = 3
 SERVERS = 12
 SENDS = 8
+CRASHES_ALLOWED = 5
+"""The users' rule counts requests sent after the fifth crash."""
 
 
 class Fleet:
@@ -23,7 +25,7 @@
     Parameters
     ----------
     before_end : callable
-        Answers the request before the backend server crashes.
+        Answers the request before the backend server crashes; returns True if it does not crash.
     """
 
     def __init__(self, kind, before_end, **changes):
@@ -33,21 +35,29 @@
         self._clock = SystemClock()
         self._quarantine = Quarantine(int(QUARANTINE_TIME), CRASHES_ALONE)
         self._told = 0
+        self._passed_ms = 0
         self._servers = [ScriptedBackend(self._end) for _ in range(SERVERS)]
         self._vms = [RelayWorld(document(route(kind, **changes))) for _ in range(VMS)]
         for vm in self._vms:
             vm.share(self._servers)
 
-    def send(self, number):
-        """Send the request to one of the VMs; then report the crashes of all VMs."""
+    def send(self, number, body=b"culprit", parts=""):
+        """Send a request to one of the VMs and return its status; then report all VMs' crashes."""
         vm = self._vms[number % VMS]
         conn = http.client.HTTPConnection(vm.address.host, vm.address.port, timeout=10)
-        sent = {"Host": HOST, "X-Id": f"q{number}", "X-Key": KEY}
-        conn.request("POST", f"/{self._kind.value}/x", b"culprit", sent)
+        sent = {"Host": HOST, "X-Id": f"q{number}", "X-Key": KEY, "X-Parts": parts}
+        conn.request("POST", f"/{self._kind.value}/x", body, sent)
+        resp = conn.getresponse()
         with contextlib.suppress(http.client.IncompleteRead):
-            conn.getresponse().read()
+            resp.read()
         conn.close()
         wait_for(self._all_told)
+        return resp.status
+
+    def pass_time(self, ms):
+        """Advance the log's time, and report."""
+        self._passed_ms += ms
+        wait_for(self._all_told)
 
     def _all_told(self):
         for vm in self._vms:
@@ -72,11 +82,12 @@
         return self._told == len(self.ended)
 
     def _now(self):
-        return LogMs(self._clock.elapsed_ms())
+        return LogMs(self._clock.elapsed_ms() + self._passed_ms)
 
     def _end(self, received):
         server = next(s for s in self._servers if received in s.received)
-        self._before_end(received)
+        if self._before_end(received):
+            return
         self.ended.append(server)
         server.crash(received)
 
@@ -103,3 +114,25 @@
                 fleet.send(number)
         # Both attempts of the second send may be in progress when the third engine crashes.
         assert len(fleet.ended) <= 4
+
+
+def deadly_part(received):
+    received.start_events(X_Id=received.headers["x-id"])
+    if "deadly" in received.headers["x-parts"]:
+        return False
+    for number in range(1, 7):
+        received.event(number)
+    received.end_events()
+    return True
+
+
+class TestDeadlyParts:
+    def test_different_requests_with_one_deadly_part_do_not_crash_engine_after_engine(self):
+        with contextlib.closing(Fleet(RouteKind.STREAM, deadly_part, max_attempts=2)) as fleet:
+            sound = []
+            for number in range(SENDS):
+                fleet.send(number, b"deadly %d" % number, f"first,deadly,own{number}")
+                sound.append(fleet.send(number, b"sound %d" % number, f"first,own{number}"))
+                fleet.pass_time(1_000)
+        assert len(fleet.ended) <= CRASHES_ALLOWED
+        assert sound == [200] * SENDS
--- a/packages/testing/src/nutmegdrum_testing/relay_dialect.py
+++ b/packages/testing/src/nutmegdrum_testing/relay_dialect.py
@@ -4,7 +4,7 @@
 
 import msgspec
 from nutmegdrum.units import Duration, parse_address
-from nutmegdrum_coord.ids import BackendId, DataCentre, ServiceName, VersionName
+from nutmegdrum_coord.ids import BackendId, DataCentre, PromptPart, ServiceName, VersionName
 from nutmegdrum_relay.dialect import (
     AnswerTerms,
     AttemptTerms,
@@ -43,6 +43,7 @@
             last_event_id=headers.get("x-last", ""),
             prompt_tokens=int(headers.get("x-prompt", "0")),
             output_tokens=int(headers.get("x-output", "0")),
+            shared_parts=tuple(map(PromptPart, headers.get("x-parts", "").split(",")[:-1])),
         )
 
     def attempt_headers(self, request: RequestTerms, attempt: AttemptTerms) -> Headers:
