Quarantine the prompt part on which engines crash, on the relay

Cause: the quarantine names a request by the digest of its whole content, so requests that share the deadly part are each a new suspect that may crash three engines. Class: an identity that is narrower than the fault.

Now an attempt that was at its beginning when its engine crashed makes the shared parts of its prompt suspects. An answer that gets past its beginning anywhere clears them: a deadly part never does, while the parts that it comes with do through sound requests. Entry VMs keep the last sound start of each part and report those of the leader's suspects. After three crashes without a sound start, and 1.5 s for reports, the part with most crashes is quarantined, of equal ones the latest, which fewest requests share. Crashes that it explains count for no other request. A sound start after that lifts the quarantine.

--- a/packages/coord/src/nutmegdrum_coord/quarantine.py
+++ b/packages/coord/src/nutmegdrum_coord/quarantine.py
@@ -1,12 +1,14 @@
 """Replicated record of requests suspected of crashing backend servers, and their quarantine."""
 
 from collections import OrderedDict
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
 
 from nutmegdrum_coord.clock import LogMs
 from nutmegdrum_coord.ids import BackendId, Fingerprint, VmId
+from nutmegdrum_coord.part_suspects import PartCrash, PartsSnapshot, PartSuspects
 from nutmegdrum_coord.parts import Answer, Command, Context
 
 SUSPICION_MS = 600_000
@@ -31,6 +33,22 @@
 are counted within twice this time, and so within the 3 s that users allow crashing requests."""
 
 
+MAX_EXPLAINED = 100
+"""Crashes by quarantined parts that are kept, for reports that arrive later."""
+
+_PART_PREFIX = "part:"
+
+
+def part_fingerprint(scope: str, part: str) -> Fingerprint:
+    """Return the fingerprint of a part of prompts of one model or service, `scope`."""
+    return Fingerprint(f"{_PART_PREFIX}{scope}/{part}")
+
+
+def is_part(fingerprint: Fingerprint) -> bool:
+    """Return whether a fingerprint is that of a part of prompts, not of a request."""
+    return fingerprint.startswith(_PART_PREFIX)
+
+
 class ReportCrash(Command):
     """Report that a backend server died while it ran a request.
 
@@ -40,6 +58,8 @@
         Tokens that this attempt yielded before the crash.
     began_ms_ago, died_ms_ago : int
         Time since the attempt began, and since it broke off, in ms.
+    parts : tuple of Fingerprint
+        Shared parts of the prompt, if the answer was just beginning; see `PartSuspects`.
     """
 
     fingerprint: Fingerprint
@@ -48,6 +68,7 @@
     tokens: int = 0
     began_ms_ago: int = 0
     died_ms_ago: int = 0
+    parts: tuple[Fingerprint, ...] = ()
 
 
 class ReserveTry(Command):
@@ -56,6 +77,7 @@
     fingerprint: Fingerprint
     vm: VmId
     backend: BackendId
+    parts: tuple[Fingerprint, ...] = ()
 
 
 class EndTry(Command):
@@ -63,14 +85,19 @@
 
     Attributes
     ----------
+    fingerprint : Fingerprint
+        The suspect: a request, or a part of prompts.
     cleared : bool
         Whether the request got past the point at which its last backend server died; False if
         the try was abandoned.
+    ms_ago : int
+        Time since then, in ms.
     """
 
     fingerprint: Fingerprint
     vm: VmId
     cleared: bool
+    ms_ago: int = 0
 
 
 class SuspectNoted(Answer):
@@ -144,6 +171,8 @@
     tries: dict[BackendId, _Try]
     accusations: dict[Fingerprint, _Accusation]
     quarantines: list[tuple[Fingerprint, LogMs]]
+    parts: PartsSnapshot = msgspec.field(default_factory=PartsSnapshot)
+    explained: list[PartCrash] = []
 
 
 class Quarantine:
@@ -155,6 +184,9 @@
     hold no reservation; if such an attempt was on the same server, no request is quarantined yet.
     A try that gets past the point of the last crash clears its request.
 
+    Parts of prompts are identified beside requests, since requests that differ may share a deadly
+    one. Crashes under a quarantined part are not counted for the other requests on that server.
+
     Parameters
     ----------
     quarantine_ms : int
@@ -176,16 +208,21 @@
         self._tries: dict[BackendId, _Try] = {}
         self._accusations: dict[Fingerprint, _Accusation] = {}
         self._quarantines: OrderedDict[Fingerprint, LogMs] = OrderedDict()
+        self._parts = PartSuspects()
+        self._explained: list[PartCrash] = []
 
     def apply(self, ctx: Context, command: Any) -> QuarantineAnswer:
         """Apply one command and return its answer."""
         self._expire(ctx)
         self._quarantine_accused(ctx)
-        until = self._quarantines.get(command.fingerprint)
+        self._quarantine_parts(ctx)
+        if isinstance(command, EndTry) and command.cleared:
+            self._on_sound_start(ctx, command)
+        if isinstance(command, ReportCrash):
+            return self._report_crash(ctx, command)
+        until = self._quarantined_until(command)
         if until is not None:
             return Quarantined(remaining_ms=until - ctx.at)
-        if isinstance(command, ReportCrash):
-            return self._report(ctx, command)
         if isinstance(command, ReserveTry):
             return self._reserve(ctx.at, command)
         return self._end(command)
@@ -198,6 +235,19 @@
         """Return the number of crashes recorded for a request that is not in quarantine."""
         return len(self._crashes.get(fingerprint, ()))
 
+    def suspected_parts(self) -> list[Fingerprint]:
+        """Return the parts of prompts of which the entry VMs should report sound starts."""
+        quarantined = [f for f in self._quarantines if is_part(f)]
+        return [*self._parts.shown(), *quarantined]
+
+    def is_news(self, part: Fingerprint, at: LogMs) -> bool:
+        """Return whether a sound start of a part at log time `at` would change the state."""
+        return part in self._quarantines or self._parts.is_news(part, at)
+
+    def is_part_due(self, at: LogMs) -> bool:
+        """Return whether the next command, if applied at log time `at`, decides on a part."""
+        return self._parts.is_due(at)
+
     def suspects(self) -> list[Fingerprint]:
         """Return all suspects; some may already have expired."""
         return list(self._crashes)
@@ -213,6 +263,8 @@
             tries=self._tries,
             accusations=self._accusations,
             quarantines=list(self._quarantines.items()),
+            parts=self._parts.snapshot(),
+            explained=self._explained,
         )
 
     def restore(self, state: bytes) -> None:
@@ -222,6 +274,56 @@
         self._tries = snapshot.tries
         self._accusations = snapshot.accusations
         self._quarantines = OrderedDict(snapshot.quarantines)
+        self._parts.restore(snapshot.parts)
+        self._explained = snapshot.explained
+
+    def _quarantined_until(self, command: Any) -> LogMs | None:
+        """Return the end of the quarantine of the command's request or of a part of its prompt."""
+        named = (command.fingerprint, *getattr(command, "parts", ()))
+        ends = [self._quarantines[f] for f in named if f in self._quarantines]
+        return max(ends, default=None)
+
+    def _report_crash(self, ctx: Context, command: ReportCrash) -> QuarantineAnswer:
+        died = LogMs(ctx.at - command.died_ms_ago)
+        crash = PartCrash(command.backend, command.fingerprint, died)
+        if any(part in self._quarantines for part in command.parts):
+            self._explain(crash)
+        elif any(crash.is_at(known.backend, known.died) for known in self._explained):
+            return SuspectNoted()
+        elif command.parts:
+            self._parts.on_crash(ctx.at, command.parts, crash)
+            self._quarantine_parts(ctx)
+        until = self._quarantined_until(command)
+        if until is not None:
+            return Quarantined(remaining_ms=until - ctx.at)
+        return self._report(ctx, command)
+
+    def _quarantine_parts(self, ctx: Context) -> None:
+        for part, crashes in self._parts.decide(ctx.at):
+            self._quarantine(ctx, part, crashes)
+            for crash in crashes:
+                self._explain(crash)
+
+    def _explain(self, crash: PartCrash) -> None:
+        """Stop counting a crash, which a quarantined part caused, for other requests."""
+        self._explained = [*self._explained, crash][-MAX_EXPLAINED:]
+        self._parts.forget(crash)
+        for fingerprint, crashes in list(self._crashes.items()):
+            left = [c for c in crashes if not crash.is_at(c.backend, c.died)]
+            if left:
+                self._crashes[fingerprint] = left
+            else:
+                del self._crashes[fingerprint]
+
+    def _on_sound_start(self, ctx: Context, command: EndTry) -> None:
+        """Clear a part; one in quarantine that has a sound start since then was innocent."""
+        part, started = command.fingerprint, LogMs(ctx.at - command.ms_ago)
+        until = self._quarantines.get(part)
+        if until is None:
+            self._parts.on_sound_start(part, started)
+        elif is_part(part) and started > until - self._quarantine_ms:
+            del self._quarantines[part]
+            ctx.audit("quarantine lifted", part)
 
     def _report(self, ctx: Context, command: ReportCrash) -> QuarantineAnswer:
         crash = _Crash(
@@ -248,7 +350,7 @@
             self._accusations[command.fingerprint] = _Accusation(command.backend, ctx.at)
             return Accused(wait_ms=ACCUSATION_MS)
         if self._reached_crash_limit(crashes):
-            self._quarantine(ctx, command.fingerprint)
+            self._quarantine(ctx, command.fingerprint, self._crashes.pop(command.fingerprint, []))
             return Quarantined(remaining_ms=self._quarantine_ms)
         if earlier:
             self._drop_accusations(command.backend)
@@ -279,15 +381,17 @@
         due = [f for f, a in self._accusations.items() if ctx.at - a.at >= ACCUSATION_MS]
         for fingerprint in due:
             del self._accusations[fingerprint]
-            self._quarantine(ctx, fingerprint)
+            self._quarantine(ctx, fingerprint, self._crashes.pop(fingerprint, []))
 
-    def _quarantine(self, ctx: Context, fingerprint: Fingerprint) -> None:
+    def _quarantine(
+        self, ctx: Context, fingerprint: Fingerprint, crashes: Sequence[_Crash | PartCrash]
+    ) -> None:
         self._quarantines[fingerprint] = LogMs(ctx.at + self._quarantine_ms)
         if len(self._quarantines) > MAX_QUARANTINES:
             self._quarantines.popitem(last=False)
-        crashes = self._crashes.pop(fingerprint, [])
         backends = ", ".join(crash.backend for crash in crashes)
-        ctx.audit("request quarantined", fingerprint, crashed=backends)
+        kind = "part" if is_part(fingerprint) else "request"
+        ctx.audit(f"{kind} quarantined", fingerprint, crashed=backends)
 
     def _reached_crash_limit(self, crashes: list[_Crash]) -> bool:
         if self._crash_limit is None:
@@ -319,6 +423,7 @@
         self._tries = {b: t for b, t in self._tries.items() if t.fingerprint != fingerprint}
 
     def _expire(self, ctx: Context) -> None:
+        self._parts.expire(ctx.at)
         self._tries = {b: t for b, t in self._tries.items() if t.until > ctx.at}
         while self._crashes and ctx.at - self._oldest_crash().at >= SUSPICION_MS:
             self._crashes.popitem(last=False)
--- a/packages/kernel/src/nutmegdrum/suspects.py
+++ b/packages/kernel/src/nutmegdrum/suspects.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from nutmegdrum_coord.ids import Fingerprint
-from nutmegdrum_coord.quarantine import EARLY_TOKENS
+from nutmegdrum_coord.quarantine import EARLY_TOKENS, is_part
 from nutmegdrum_coord.verdict import QUARANTINED, Refusal, Verdict
 
 from nutmegdrum.messages import LossKind
@@ -51,9 +51,13 @@
         suspects: Sequence[Fingerprint],
         received_ms: int,
     ) -> None:
-        """Merge the quarantines and suspects of a view."""
+        """Merge the quarantines and suspects of a view.
+
+        Quarantines of parts are replaced, since the leader may lift them.
+        """
+        own = {f: until for f, until in self._quarantines.items() if not is_part(f)}
         self._quarantines = {
-            **{f: until for f, until in self._quarantines.items() if until > received_ms},
+            **{f: until for f, until in own.items() if until > received_ms},
             **{q.fingerprint: received_ms + q.remaining_ms for q in quarantines},
         }
         self._reported = frozenset(suspects)
--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -8,9 +8,11 @@
 from nutmegdrum.units import Duration
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import BackendId, DataCentre, Fingerprint, WorkspaceId
+from nutmegdrum_coord.quarantine import EARLY_TOKENS
+from nutmegdrum_coord.verdict import Refusal
 
 from nutmegdrum_relay.backends import Backend, Backends, Health
-from nutmegdrum_relay.crash_watch import BrokenAttempt, CrashWatch
+from nutmegdrum_relay.crash_watch import BEGINNING, BrokenAttempt, CrashWatch
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import AnswerTerms, AttemptTerms, Dialect, Headers, RequestTerms
 from nutmegdrum_relay.documents import Route, RouteKind, Service
@@ -65,6 +67,8 @@
         Elapsed time in ms after which the caller no longer waits for the answer.
     fingerprint : Fingerprint
         Identity of the request's content; equal for resends, at whichever entry VM.
+    parts : tuple of Fingerprint
+        Parts of its prompt that other requests may share.
     caller_gone : bool
         Whether the caller has closed its connection.
     """
@@ -81,6 +85,7 @@
     demand: Demand
     deadline_ms: int
     fingerprint: Fingerprint
+    parts: tuple[Fingerprint, ...] = ()
     caller_gone: bool = False
     _exchange: Exchange | None = None
     _lock: threading.Lock = field(default_factory=threading.Lock)
@@ -138,6 +143,8 @@
         arrived.
     events : int
         Complete events of its stream received so far.
+    past_beginning : bool
+        Whether its answer got past its beginning, on which deadly parts crash the engine.
     """
 
     backend: Backend
@@ -151,6 +158,7 @@
     first_data_ms: int | None = None
     last_data_ms: int | None = None
     events: int = 0
+    past_beginning: bool = False
 
 
 class Attempts:
@@ -205,14 +213,11 @@
 
     def may_resend(self, pending: PendingRequest) -> bool:
         """Return whether a request may be sent once more; it may be quarantined by now."""
-        if not self._crash_watch.is_quarantined(pending.fingerprint):
-            return True
-        log_decision(
-            "quarantined_request",
-            request=pending.terms.request_id,
-            fingerprint=pending.fingerprint,
-        )
-        return False
+        try:
+            self._crash_watch.check(pending.fingerprint, pending.terms.request_id, pending.parts)
+        except Refusal:
+            return False
+        return True
 
     def successor(self, backend: Backend) -> Backend:
         """Return the engine that now listens at `backend`'s address; copies are sent there."""
@@ -439,11 +444,20 @@
         except ConnectionLost as exc:
             raise AttemptLost(Loss.BROKEN, str(exc)) from exc
 
-    def on_data(self, attempt: Attempt) -> None:
+    def _on_past_beginning(self, pending: PendingRequest, attempt: Attempt) -> None:
+        if not attempt.past_beginning:
+            attempt.past_beginning = True
+            self._crash_watch.on_sound_start(pending.parts)
+
+    def on_data(self, pending: PendingRequest, attempt: Attempt) -> None:
         """Record a received chunk of the answer; the first one ends the prompt's prefill."""
         self._backends.on_data(attempt.backend)
+        now_ms = self._clock.elapsed_ms()
         if attempt.first_data_ms is None:
-            attempt.first_data_ms = self._clock.elapsed_ms()
+            attempt.first_data_ms = now_ms
+        wrote_ms = now_ms - attempt.first_data_ms
+        if attempt.events > EARLY_TOKENS and wrote_ms >= BEGINNING:
+            self._on_past_beginning(pending, attempt)
         self._tally_chunk(attempt)
         if attempt.work.unread:
             read = Work(attempt.work.unread, 0)
@@ -466,6 +480,7 @@
         self._tally_end(pending, attempt, failed)
         if not failed:
             self._crash_watch.on_success(pending.fingerprint)
+            self._on_past_beginning(pending, attempt)
         elif attempt.answer.status < FAILED_STATUS and not attempt.exchange.aborted:
             self._report_broken(
                 pending, attempt.backend, attempt.sent_ms, attempt.events, attempt.first_data_ms
@@ -492,7 +507,7 @@
                 sent_ms=sent_ms,
                 events=events,
                 first_event_ms=first_event_ms,
-                parts=pending.terms.shared_parts,
+                parts=pending.parts,
             )
         )
 
--- a/packages/relay/src/nutmegdrum_relay/crash_watch.py
+++ b/packages/relay/src/nutmegdrum_relay/crash_watch.py
@@ -11,20 +11,22 @@
 import queue
 import threading
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 from nutmegdrum.probes import has_ended
+from nutmegdrum.sound_starts import SoundStarts
 from nutmegdrum.suspects import Suspects
 from nutmegdrum.units import Address, Duration
 from nutmegdrum.view import QuarantineView
 from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import BackendId, Fingerprint, PromptPart
+from nutmegdrum_coord.ids import BackendId, Fingerprint
+from nutmegdrum_coord.quarantine import EARLY_TOKENS
 from nutmegdrum_coord.verdict import Refusal
 
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.loop import Loop
-from nutmegdrum_relay.views import CrashReport, Quarantined
+from nutmegdrum_relay.views import CrashReport, Quarantined, SoundPart
 
 PROBE_TIMEOUT = Duration(100)
 """Time-out of the connection that probes for a crash; several round trips."""
@@ -44,6 +46,9 @@
 """Time for which a success clears a request: a frequent request is in progress on every server that
 another request crashes, and has succeeded elsewhere just before."""
 
+BEGINNING = Duration(500)
+"""Time after its first event during which an answer is at its beginning; several events."""
+
 MAX_SUCCESSES = 10_000
 """Requests whose last success is kept; an entry VM completes fewer within `RECENT_SUCCESS`."""
 
@@ -59,7 +64,7 @@
         Events of its stream received by then.
     first_event_ms : int or None
         Elapsed time in ms when its first event arrived; None if none did.
-    parts : tuple of PromptPart
+    parts : tuple of Fingerprint
         Parts of its prompt that other requests may share.
     """
 
@@ -69,7 +74,15 @@
     sent_ms: int
     events: int = 0
     first_event_ms: int | None = None
-    parts: tuple[PromptPart, ...] = ()
+    parts: tuple[Fingerprint, ...] = ()
+
+    def wrote_ms(self, died_ms: int) -> int:
+        """Return the time in ms from its first event to its end; 0 if it had no event."""
+        return 0 if self.first_event_ms is None else died_ms - self.first_event_ms
+
+    def was_beginning(self, died_ms: int) -> bool:
+        """Return whether its answer was just beginning when it broke off."""
+        return self.events <= EARLY_TOKENS or self.wrote_ms(died_ms) < BEGINNING
 
 
 class _Crash(NamedTuple):
@@ -78,6 +91,7 @@
     sent_ms: int
     died_ms: int
     events: int
+    parts: tuple[Fingerprint, ...] = ()
 
 
 def server_has_ended(address: Address) -> bool:
@@ -103,27 +117,28 @@
         self._crashes: list[_Crash] = []
         self._cleared: list[Fingerprint] = []
         self._successes: OrderedDict[Fingerprint, int] = OrderedDict()
+        self._sound_starts = SoundStarts()
+        self._suspect_parts: tuple[Fingerprint, ...] = ()
         self._waiting: queue.Queue[tuple[BrokenAttempt, int]] = queue.Queue(MAX_QUEUED_PROBES)
         self._loop = Loop("crashes", self._probe_waiting)
         self.start = self._loop.start
         self.stop = self._loop.stop
 
-    def check(self, fingerprint: Fingerprint, request: str) -> None:
-        """Raise a refusal if the request is quarantined.
+    def check(
+        self, fingerprint: Fingerprint, request: str, parts: Sequence[Fingerprint] = ()
+    ) -> None:
+        """Raise a refusal if the request or a part of its prompt is quarantined.
 
         Raises
         ------
         Refusal
             `QUARANTINED`, not run.
         """
-        refusal = self._refusal(fingerprint)
-        if refusal is not None:
-            log_decision("quarantined_request", request=request, fingerprint=fingerprint)
-            raise refusal
-
-    def is_quarantined(self, fingerprint: Fingerprint) -> bool:
-        """Return whether a request must not be sent any more."""
-        return self._refusal(fingerprint) is not None
+        for named in (fingerprint, *parts):
+            refusal = self._refusal(named)
+            if refusal is not None:
+                log_decision("quarantined_request", request=request, fingerprint=named)
+                raise refusal
 
     def _refusal(self, fingerprint: Fingerprint) -> Refusal | None:
         with self._lock:
@@ -152,6 +167,18 @@
             if len(self._cleared) < MAX_REPORTS:
                 self._cleared.append(fingerprint)
 
+    def on_sound_start(self, parts: Iterable[Fingerprint]) -> None:
+        """Record that an answer to a request whose prompt has `parts` got past its beginning."""
+        with self._lock:
+            self._sound_starts.record(parts, self._clock.elapsed_ms())
+
+    def take_sound_parts(self) -> tuple[SoundPart, ...]:
+        """Return the suspected parts with sound starts that were not reported yet."""
+        now_ms = self._clock.elapsed_ms()
+        with self._lock:
+            news = self._sound_starts.take_news(self._suspect_parts)
+        return tuple(SoundPart(start.part, now_ms - start.at_ms) for start in news)
+
     def take_reports(self) -> tuple[tuple[CrashReport, ...], tuple[Fingerprint, ...]]:
         """Remove and return the crashes and the cleared requests to report to the leader."""
         now_ms = self._clock.elapsed_ms()
@@ -165,6 +192,7 @@
                 now_ms - crash.sent_ms,
                 now_ms - crash.died_ms,
                 crash.events,
+                crash.parts,
             )
             for crash in unreported
         )
@@ -187,15 +215,22 @@
                 made_ms - c.began_ms_ago,
                 made_ms - c.died_ms_ago,
                 c.events,
+                c.parts,
             )
             for c in crashes
         ]
         with self._lock:
             self._crashes = [*requeued, *self._crashes][:MAX_REPORTS]
             self._cleared = [*cleared, *self._cleared][:MAX_REPORTS]
+            self._sound_starts.report_again()
 
-    def set_view(self, quarantined: Iterable[Quarantined], suspects: Iterable[Fingerprint]) -> None:
-        """Apply the quarantines and suspects that the state leader sent."""
+    def set_view(
+        self,
+        quarantined: Iterable[Quarantined],
+        suspects: Iterable[Fingerprint],
+        suspect_parts: Iterable[Fingerprint] = (),
+    ) -> None:
+        """Apply the quarantines, suspects and suspected parts that the state leader sent."""
         views = [
             QuarantineView(fingerprint=q.fingerprint, remaining_ms=q.remaining_ms)
             for q in quarantined
@@ -203,6 +238,7 @@
         now_ms = self._clock.elapsed_ms()
         with self._lock:
             self._leader_suspects = frozenset(suspects)
+            self._suspect_parts = tuple(suspect_parts)
             new = [q for q in views if self._suspects.refusal(q.fingerprint, now_ms) is None]
             self._suspects.set_view(views, (), now_ms)
         for view in new:
@@ -239,11 +275,12 @@
             backend=attempt.backend,
             parts=attempt.parts,
             events=attempt.events,
-            wrote_ms=0 if attempt.first_event_ms is None else died_ms - attempt.first_event_ms,
+            wrote_ms=attempt.wrote_ms(died_ms),
             age_ms=self._clock.elapsed_ms() - died_ms,
         )
+        parts = attempt.parts if attempt.was_beginning(died_ms) else ()
         crash = _Crash(
-            attempt.fingerprint, attempt.backend, attempt.sent_ms, died_ms, attempt.events
+            attempt.fingerprint, attempt.backend, attempt.sent_ms, died_ms, attempt.events, parts
         )
         with self._lock:
             if len(self._crashes) < MAX_REPORTS:
--- a/packages/relay/src/nutmegdrum_relay/fleet_work.py
+++ b/packages/relay/src/nutmegdrum_relay/fleet_work.py
@@ -132,6 +132,7 @@
                 samples=self._gate.tally.collect(self._clock.elapsed_ms()),
                 crashes=crashes,
                 cleared=cleared,
+                sound_parts=self._crash_watch.take_sound_parts(),
             )
 
     def _apply(
@@ -142,7 +143,7 @@
         if view is None or not view.fresh:
             self._crash_watch.requeue(report.crashes, report.cleared, sent_ms)
         if view is not None and view.fresh:
-            self._crash_watch.set_view(view.quarantined, view.suspects)
+            self._crash_watch.set_view(view.quarantined, view.suspects, view.suspect_parts)
             self._gate.renew_lease(sent_ms, Duration(view.wait_ms))
             if view.work is not None:
                 self._backends.set_others_work(view.work)
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -10,6 +10,7 @@
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import RouteName, WorkspaceId
+from nutmegdrum_coord.quarantine import part_fingerprint
 from prometheus_client import Counter, Histogram
 
 from nutmegdrum_relay.attempts import Attempts, PendingRequest
@@ -143,7 +144,9 @@
         asked = b"%s %s\n%s" % (call.method.encode(), call.target.encode(), body)
         owner = workspace.id if workspace is not None else WorkspaceId("")
         identity = fingerprint(owner, RouteName(route.name), asked)
-        self._crash_watch.check(identity, terms.request_id)
+        service = choose_service(table, route, self._rng)
+        parts = tuple(part_fingerprint(service.name, part) for part in terms.shared_parts)
+        self._crash_watch.check(identity, terms.request_id, parts)
         return PendingRequest(
             method=call.method,
             target=call.target,
@@ -151,12 +154,13 @@
             body=body,
             terms=terms,
             route=route,
-            service=choose_service(table, route, self._rng),
+            service=service,
             workspace=workspace.id if workspace is not None else None,
             urgency=table.priority(route, workspace),
             demand=Demand(terms.prompt_tokens, terms.output_tokens),
             deadline_ms=deadline_ms,
             fingerprint=identity,
+            parts=parts,
         )
 
     def _refuse(self, call: Call, terms: RequestTerms, refusal: v.Refusal) -> int:
--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -15,7 +15,7 @@
 from nutmegdrum.shared_state import SharedState
 from nutmegdrum.units import Address, Duration
 from nutmegdrum_coord import verdict as v
-from nutmegdrum_coord.clock import Clock
+from nutmegdrum_coord.clock import Clock, LogMs
 from nutmegdrum_coord.ids import Fingerprint, IncarnationId, ServiceName, VersionName, VmId
 from nutmegdrum_coord.parts import Command, CompositeState, decode_answer, encode_command
 from nutmegdrum_coord.quarantine import EndTry, Quarantine, QuarantineAnswer, ReportCrash
@@ -333,6 +333,7 @@
             shares=shares if shares.number > decoded.shares else None,
             quarantined=self._quarantined(),
             suspects=self._suspects(),
+            suspect_parts=self._suspected_parts(),
         )
         return pack(view)
 
@@ -352,6 +353,7 @@
                 tokens=crash.events,
                 began_ms_ago=crash.began_ms_ago,
                 died_ms_ago=crash.died_ms_ago,
+                parts=crash.parts,
             )
             fut = self._log.propose(self._encoded(command))
             fut.add_done_callback(partial(self._log_crash, command))
@@ -359,6 +361,21 @@
             self._log.propose(
                 self._encoded(EndTry(fingerprint=fingerprint, vm=report.vm, cleared=True))
             )
+        for command in self._part_commands(report):
+            self._log.propose(self._encoded(command))
+
+    def _part_commands(self, report: EntryReport) -> list[EndTry]:
+        """Return the commands for sound parts that change the state, or to decide what is due."""
+        with self._shared.lock:
+            at = self._shared.log_now_ms()
+            commands = [
+                EndTry(fingerprint=sound.part, vm=report.vm, cleared=True, ms_ago=sound.ms_ago)
+                for sound in report.sound_parts
+                if self._quarantine.is_news(sound.part, LogMs(at - sound.ms_ago))
+            ]
+            if not commands and self._quarantine.is_part_due(at):
+                commands = [EndTry(fingerprint=Fingerprint(""), vm=report.vm, cleared=False)]
+        return commands
 
     def _log_crash(self, command: ReportCrash, fut: Future[Applied]) -> None:
         """Log the outcome of a crash report; runs on the log's thread."""
@@ -389,6 +406,10 @@
         with self._shared.lock:
             return tuple(self._quarantine.repeatedly_crashed())
 
+    def _suspected_parts(self) -> tuple[Fingerprint, ...]:
+        with self._shared.lock:
+            return tuple(self._quarantine.suspected_parts())
+
     def _shares(self) -> VersionShares:
         with self._shared.lock:
             return self._rollouts.shares()
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -155,7 +155,7 @@
         splitter = EventSplitter()
         try:
             for piece in attempt.exchange.chunks(EVENT_TIMEOUT):
-                self._attempts.on_data(attempt)
+                self._attempts.on_data(pending, attempt)
                 progressed = self._write(call, state, attempt, splitter.feed(piece))
                 left = pending.time_to_deadline(self._clock)
                 if left <= 0:
--- a/packages/relay/src/nutmegdrum_relay/views.py
+++ b/packages/relay/src/nutmegdrum_relay/views.py
@@ -122,6 +122,8 @@
         Time from the start of the attempt, and from its end, to the report, in ms.
     events : int
         Events of the attempt that arrived before the crash.
+    parts : tuple of Fingerprint
+        Shared parts of the prompt, if the answer was just beginning.
     """
 
     fingerprint: Fingerprint
@@ -129,6 +131,14 @@
     began_ms_ago: int
     died_ms_ago: int
     events: int = 0
+    parts: tuple[Fingerprint, ...] = ()
+
+
+class SoundPart(msgspec.Struct, frozen=True, array_like=True):
+    """Part of prompts, and the time in ms since a request with it got past its beginning."""
+
+    part: Fingerprint
+    ms_ago: int
 
 
 class Quarantined(msgspec.Struct, frozen=True, array_like=True):
@@ -173,6 +183,8 @@
         Crashes of backend servers since the last report.
     cleared : tuple of Fingerprint
         Suspects that succeeded since the last report.
+    sound_parts : tuple of SoundPart
+        Suspected parts of prompts with sound starts since the last report.
     """
 
     vm: VmId
@@ -188,6 +200,7 @@
     samples: tuple[VersionSample, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     cleared: tuple[Fingerprint, ...] = ()
+    sound_parts: tuple[SoundPart, ...] = ()
 
 
 class SharedListing(msgspec.Struct, frozen=True, kw_only=True):
@@ -241,6 +254,9 @@
     suspects : tuple of Fingerprint
         Requests during which more than one backend server has crashed; entry VMs report when one
         of them succeeds.
+    suspect_parts : tuple of Fingerprint
+        Parts of prompts during whose requests backend servers have crashed; entry VMs report
+        sound starts of these.
     """
 
     fresh: bool
@@ -254,6 +270,7 @@
     shares: VersionShares | None = None
     quarantined: tuple[Quarantined, ...] = ()
     suspects: tuple[Fingerprint, ...] = ()
+    suspect_parts: tuple[Fingerprint, ...] = ()
 
     @property
     def source(self) -> bytes:
--- a/packages/relay/tests/test_crashing_requests.py
+++ b/packages/relay/tests/test_crashing_requests.py
@@ -4,7 +4,7 @@
 import pytest
 from nutmegdrum_coord.clock import LogMs, SystemClock
 from nutmegdrum_coord.parts import Context, Envelope
-from nutmegdrum_coord.quarantine import Quarantine, ReportCrash
+from nutmegdrum_coord.quarantine import EndTry, Quarantine, ReportCrash
 from nutmegdrum_relay.documents import RouteKind
 from nutmegdrum_relay.state_role import CRASHES_ALONE, QUARANTINE_TIME
 from nutmegdrum_relay.views import Quarantined
@@ -56,7 +56,9 @@
 
     def pass_time(self, ms):
         """Advance the log's time, and report."""
+        wait_for(self._all_told)
         self._passed_ms += ms
+        self._apply(EndTry(fingerprint="", vm="e", cleared=False))
         wait_for(self._all_told)
 
     def _all_told(self):
@@ -64,8 +66,7 @@
             crashes, _ = vm.crash_watch.take_reports()
             self._told += len(crashes)
             for crash in crashes:
-                self._quarantine.apply(
-                    Context(1, self._now(), Envelope(command=b"")),
+                self._apply(
                     ReportCrash(
                         fingerprint=crash.fingerprint,
                         vm="e",
@@ -73,14 +74,25 @@
                         tokens=crash.events,
                         began_ms_ago=crash.began_ms_ago,
                         died_ms_ago=crash.died_ms_ago,
+                        parts=crash.parts,
                     ),
                 )
+            for sound in vm.crash_watch.take_sound_parts():
+                self._apply(
+                    EndTry(fingerprint=sound.part, vm="e", cleared=True, ms_ago=sound.ms_ago)
+                )
         held = self._quarantine.quarantines(self._now())
         for vm in self._vms:
-            quarantined = [Quarantined(f, ms) for f, ms in held.items()]
-            vm.crash_watch.set_view(quarantined, self._quarantine.repeatedly_crashed())
+            vm.crash_watch.set_view(
+                [Quarantined(f, ms) for f, ms in held.items()],
+                self._quarantine.repeatedly_crashed(),
+                self._quarantine.suspected_parts(),
+            )
         return self._told == len(self.ended)
 
+    def _apply(self, command):
+        self._quarantine.apply(Context(1, self._now(), Envelope(command=b"")), command)
+
     def _now(self):
         return LogMs(self._clock.elapsed_ms() + self._passed_ms)
 
