Abort attempts at their beginning when a quarantine names them

Cause: a quarantine was asked only before a request was sent. An attempt waits seconds for its prefill, and crashes its engine at its end. The test failed before: the attempt stayed until the deadline (504).

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -304,6 +304,7 @@
         if pending.route.kind is RouteKind.STREAM:
             self._running.add(backend, exchange, self._clock.elapsed_ms())
         pending.set_exchange(exchange)
+        self._crash_watch.beginning.add(exchange, (pending.fingerprint, *pending.parts))
         try:
             terms = AttemptTerms(
                 backend=backend.id,
@@ -447,6 +448,7 @@
     def _on_past_beginning(self, pending: PendingRequest, attempt: Attempt) -> None:
         if not attempt.past_beginning:
             attempt.past_beginning = True
+            self._crash_watch.beginning.remove(attempt.exchange)
             self._crash_watch.on_sound_start(pending.parts)
 
     def on_data(self, pending: PendingRequest, attempt: Attempt) -> None:
@@ -564,6 +566,7 @@
         self, pending: PendingRequest, backend: Backend, exchange: Exchange, work: Work, keep: bool
     ) -> None:
         pending.set_exchange(None)
+        self._crash_watch.beginning.remove(exchange)
         self._running.remove(backend, exchange)
         self._backends.remove(backend, work)
         self._report_changed(work)
--- a/packages/relay/src/nutmegdrum_relay/crash_watch.py
+++ b/packages/relay/src/nutmegdrum_relay/crash_watch.py
@@ -26,6 +26,7 @@
 
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.loop import Loop
+from nutmegdrum_relay.running import BeginningAttempts
 from nutmegdrum_relay.views import CrashReport, Quarantined, SoundPart
 
 PROBE_TIMEOUT = Duration(100)
@@ -106,11 +107,17 @@
     ----------
     ended : callable
         Returns whether the backend server at an address has ended.
+
+    Attributes
+    ----------
+    beginning : BeginningAttempts
+        Attempts that a new quarantine may abort.
     """
 
     def __init__(self, clock: Clock, ended: Callable[[Address], bool] = server_has_ended):
         self._clock = clock
         self._ended = ended
+        self.beginning = BeginningAttempts()
         self._lock = threading.Lock()
         self._suspects = Suspects()
         self._leader_suspects: frozenset[Fingerprint] = frozenset()
@@ -243,7 +250,10 @@
             self._suspects.set_view(views, (), now_ms)
         for view in new:
             log_decision(
-                "quarantine_in_force", fingerprint=view.fingerprint, remaining_ms=view.remaining_ms
+                "quarantine_in_force",
+                fingerprint=view.fingerprint,
+                remaining_ms=view.remaining_ms,
+                aborted=self.beginning.abort(view.fingerprint),
             )
 
     def _succeeded_recently(self, fingerprint: Fingerprint) -> bool:
--- a/packages/relay/src/nutmegdrum_relay/running.py
+++ b/packages/relay/src/nutmegdrum_relay/running.py
@@ -1,8 +1,9 @@
-"""Streams in progress, so that all streams of a silent engine can be aborted together."""
+"""Attempts in progress, so that those on a silent engine or under a quarantine can be aborted."""
 
 import threading
+from collections.abc import Collection
 
-from nutmegdrum_coord.ids import BackendId
+from nutmegdrum_coord.ids import BackendId, Fingerprint
 
 from nutmegdrum_relay.backends import Backend
 from nutmegdrum_relay.upstream import Exchange
@@ -49,3 +50,32 @@
         for exchange in exchanges:
             exchange.abort()
         return len(exchanges)
+
+
+class BeginningAttempts:
+    """Attempts whose answers are not past their beginning yet; thread-safe.
+
+    A quarantine aborts those that it concerns, as each would crash its backend server.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._named: dict[Exchange, frozenset[Fingerprint]] = {}
+
+    def add(self, exchange: Exchange, named: Collection[Fingerprint]) -> None:
+        """Register an attempt with its request's fingerprint and those of its prompt's parts."""
+        with self._lock:
+            self._named[exchange] = frozenset(named)
+
+    def remove(self, exchange: Exchange) -> None:
+        """Unregister an attempt that has ended or is past its beginning."""
+        with self._lock:
+            self._named.pop(exchange, None)
+
+    def abort(self, quarantined: Fingerprint) -> int:
+        """Abort the attempts that a quarantine concerns and return their number."""
+        with self._lock:
+            exchanges = [e for e, named in self._named.items() if quarantined in named]
+        for exchange in exchanges:
+            exchange.abort()
+        return len(exchanges)
--- a/packages/relay/tests/test_crashing_requests.py
+++ b/packages/relay/tests/test_crashing_requests.py
@@ -1,14 +1,16 @@
 import contextlib
 import http.client
+import threading
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from nutmegdrum_coord.clock import LogMs, SystemClock
 from nutmegdrum_coord.parts import Context, Envelope
-from nutmegdrum_coord.quarantine import EndTry, Quarantine, ReportCrash
+from nutmegdrum_coord.quarantine import EndTry, Quarantine, ReportCrash, part_fingerprint
 from nutmegdrum_relay.documents import RouteKind
 from nutmegdrum_relay.state_role import CRASHES_ALONE, QUARANTINE_TIME
 from nutmegdrum_relay.views import Quarantined
-from nutmegdrum_testing.relay_world import HOST, KEY, RelayWorld, document, route
+from nutmegdrum_testing.relay_world import HOST, KEY, SERVICE, RelayWorld, document, route
 from nutmegdrum_testing.scripted_backend import ScriptedBackend
 from nutmegdrum_testing.waiting import wait_for
 
@@ -54,6 +56,11 @@
         wait_for(self._all_told)
         return resp.status
 
+    def quarantine(self, fingerprint):
+        """Apply a view with one quarantine at all VMs."""
+        for vm in self._vms:
+            vm.crash_watch.set_view([Quarantined(fingerprint, 60_000)], [])
+
     def pass_time(self, ms):
         """Advance the log's time, and report."""
         wait_for(self._all_told)
@@ -139,6 +146,23 @@
 
 
 class TestDeadlyParts:
+    def test_a_quarantine_aborts_attempts_that_would_crash_their_engines_later(self):
+        waiting = threading.Event()
+        gone = []
+
+        def wait(received):
+            waiting.set()
+            gone.append(received.wait_gone(10))
+            return True
+
+        fleet = Fleet(RouteKind.STREAM, wait, max_attempts=2)
+        with contextlib.closing(fleet), ThreadPoolExecutor(1) as pool:
+            sent = pool.submit(fleet.send, 0, b"deadly", "first,deadly,own")
+            wait_for(waiting.is_set)
+            fleet.quarantine(part_fingerprint(SERVICE, "deadly"))
+            assert sent.result(10) == 502
+        assert gone == [True]
+
     def test_different_requests_with_one_deadly_part_do_not_crash_engine_after_engine(self):
         with contextlib.closing(Fleet(RouteKind.STREAM, deadly_part, max_attempts=2)) as fleet:
             sound = []
