Quarantine the prompt part on which engines crash, on the own gateway

The lines of a prompt but the last are its parts here, so each message of a chat begins one. Crash reports and reservations carry them; an answer that gets past its beginning clears those that the view shows as suspected.

--- a/packages/kernel/src/nutmegdrum/guarded_routing.py
+++ b/packages/kernel/src/nutmegdrum/guarded_routing.py
@@ -5,7 +5,7 @@
 from nutmegdrum_coord.verdict import OVERLOADED, Reason, Refusal, Verdict
 
 from nutmegdrum.crashguard import CrashGuard, ReservationResult
-from nutmegdrum.fingerprints import generation_fingerprint
+from nutmegdrum.fingerprints import generation_fingerprint, prompt_parts
 from nutmegdrum.messages import LossKind
 from nutmegdrum.routing import Router
 from nutmegdrum.routing_query import Choice, RouteQuery
@@ -34,7 +34,7 @@
         """
         fingerprint = generation_fingerprint(query.workspace, query.model, query.prompt)
         try:
-            self._guard.check(fingerprint)
+            self._guard.check(fingerprint, prompt_parts(query.model, query.prompt))
             if not self._guard.suspected(fingerprint):
                 return self._router.choose(msgspec.structs.replace(query, isolated=False))
             return self._reserve(msgspec.structs.replace(query, isolated=True))
@@ -45,11 +45,12 @@
 
     def _reserve(self, query: RouteQuery) -> Choice | Reason:
         fingerprint = generation_fingerprint(query.workspace, query.model, query.prompt)
+        parts = prompt_parts(query.model, query.prompt)
         while True:
             choice = self._router.choose(query)
             if isinstance(choice, Reason):
                 return choice
-            step = self._guard.reserve(fingerprint, choice.backend.id)
+            step = self._guard.reserve(fingerprint, choice.backend.id, parts)
             if step is ReservationResult.RUN:
                 return choice
             if step is ReservationResult.WAIT:
--- a/packages/kernel/src/nutmegdrum/view.py
+++ b/packages/kernel/src/nutmegdrum/view.py
@@ -83,6 +83,8 @@
         Number that increases with each change of the other fields.
     suspects : list of Fingerprint
         Requests whose next attempt must run in isolation.
+    suspect_parts : list of Fingerprint
+        Parts of prompts of which entry VMs report sound starts.
     """
 
     position: LogPosition
@@ -92,6 +94,7 @@
     backends: list[BackendView] = []
     quarantines: list[QuarantineView] = []
     suspects: list[Fingerprint] = []
+    suspect_parts: list[Fingerprint] = []
 
 
 class RouteSample(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/kernel/src/nutmegdrum/viewbuilder.py
+++ b/packages/kernel/src/nutmegdrum/viewbuilder.py
@@ -45,9 +45,15 @@
         backends=[_backend_view(member, models) for member in members],
         quarantines=list(quarantines),
         suspects=quarantine.suspects() if quarantine is not None else [],
+        suspect_parts=_suspected_parts(state),
     )
 
 
+def _suspected_parts(state: CompositeState) -> list[Fingerprint]:
+    quarantine: Quarantine | None = state.parts.get(Quarantine.name)
+    return quarantine.suspected_parts() if quarantine is not None else []
+
+
 def _model_view(model: ModelState, releases: Releases, grant_ms: int) -> ModelView:
     move = releases.trial_of(model.name)
     trial = None
@@ -100,7 +106,7 @@
     def __init__(self, fencing: FencingNumber, grant_ms: int):
         self._generation = int(fencing) << _GENERATION_BITS
         self._grant_ms = grant_ms
-        self._revisions = (-1, -1)
+        self._revisions: tuple[int, int, list[Fingerprint]] = (-1, -1, [])
         self._expiries: dict[Fingerprint, int] = {}
         self._last: View | None = None
 
@@ -113,7 +119,7 @@
     ) -> View:
         """Return the view as of `now_ms`; the ageing of a quarantine does not count as a change."""
         releases: Releases = state.parts[Releases.name]
-        revisions = (releases.revision, fleet.revision)
+        revisions = (releases.revision, fleet.revision, _suspected_parts(state))
         expiries = {entry.fingerprint: now_ms + entry.remaining_ms for entry in quarantines}
         same_expiries = self._same_expiries(expiries)
         if self._last is not None and same_expiries and revisions == self._revisions:
