Do not take a repeated refusal on a kept connection for the answer

What callers saw: a faulty backend server writes an earlier refusal once more on a kept connection. The relay took it for the answer to the request that the server was running: it said not-run (503), or sent a request that is not idempotent to a second server.

Cause: a refusal without a request id was believed on any connection, a 421 whatever its id, and a refusal with the id of a request that was sent there again could not be told from an old one. Class: an answer is matched to a request by its place instead of its identity.

Now an answer without an id counts only on a connection that carries its first request, a 421 needs the id like any other refusal, and a request is not sent again on a connection on which it was refused. What cannot be matched is a lost answer, as for answers of another request. The own gateway is not concerned: each call and generation has a connection of its own.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -358,7 +358,9 @@
     def _open(self, pending: PendingRequest, backend: Backend) -> Exchange:
         fresh = pending.route.kind is not RouteKind.IDEMPOTENT
         try:
-            return self._upstream.open(backend.id, backend.address, fresh)
+            return self._upstream.open(
+                backend.id, backend.address, fresh, request_id=pending.terms.request_id
+            )
         except ConnectFailed as exc:
             self._backends.on_down(backend, "no-connection")
             self._upstream.close_idle(backend.id)
@@ -406,11 +408,15 @@
         answer: AnswerHead,
         terms: AnswerTerms,
     ) -> None:
-        if terms.other_backend:
+        # A replaced server's answer to an earlier request says nothing of this one.
+        own = terms.request_id == pending.terms.request_id
+        own = own or (not terms.request_id and not exchange.reused)
+        if terms.other_backend and own:
             self._backends.on_replaced(backend)
             self._upstream.close_idle(backend.id)
             raise AttemptLost(Loss.OTHER_BACKEND, "another backend server has the address")
-        if terms.not_run and terms.request_id in ("", pending.terms.request_id):
+        if terms.not_run and own:
+            exchange.refused = pending.terms.request_id
             self._discard_body(exchange)
             raise AttemptLost(Loss.NOT_RUN, f"status {answer.status}")
         if terms.request_id != pending.terms.request_id:
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -69,10 +69,20 @@
 
 
 class Exchange:
-    """One request and its answer on one connection; `abort` may be called from any thread."""
+    """One request and its answer on one connection; `abort` may be called from any thread.
 
-    def __init__(self, conn: BoundedConnection):
+    Attributes
+    ----------
+    reused : bool
+        Whether the connection has carried earlier requests, whose answers may come once more.
+    refused : str
+        Id of the request that was refused on this connection last; empty if none was.
+    """
+
+    def __init__(self, conn: BoundedConnection, reused: bool = False, refused: str = ""):
         self._conn = conn
+        self.reused = reused
+        self.refused = refused
         self._sock = conn.sock
         self._resp: HTTPResponse | None = None
         self.aborted = False
@@ -205,6 +215,7 @@
     conn: BoundedConnection
     since_ms: int
     until_ms: int
+    refused: str
 
 
 class UpstreamPool:
@@ -217,7 +228,12 @@
         self._expiry_due_ms = 0
 
     def open(
-        self, backend: BackendId, address: Address, fresh: bool, timeout: Duration = CONNECT_TIMEOUT
+        self,
+        backend: BackendId,
+        address: Address,
+        fresh: bool,
+        timeout: Duration = CONNECT_TIMEOUT,
+        request_id: str = "",
     ) -> Exchange:
         """Return an exchange on a pooled connection or a new one.
 
@@ -225,16 +241,19 @@
         ----------
         fresh : bool
             Whether a pooled connection must have been used within `FRESH_IDLE`.
+        request_id : str
+            Id of the request. A connection on which it was refused is not used, as that refusal,
+            sent once more, could not be told from the answer.
 
         Raises
         ------
         ConnectFailed
             If a new connection could not be opened.
         """
-        pooled = self._take(backend, fresh)
+        pooled = self._take(backend, fresh, request_id)
         if pooled is not None:
             REUSED.inc()
-            return Exchange(pooled)
+            return Exchange(pooled.conn, True, pooled.refused)
         return self.connect(address, timeout)
 
     def connect(self, address: Address, timeout: Duration = CONNECT_TIMEOUT) -> Exchange:
@@ -269,7 +288,8 @@
             exchange.close()
             return
         now_ms = self._clock.elapsed_ms()
-        idle = _Idle(exchange.connection, now_ms, now_ms + exchange.idle_time())
+        until_ms = now_ms + exchange.idle_time()
+        idle = _Idle(exchange.connection, now_ms, until_ms, exchange.refused)
         with self._lock:
             self._idle[backend].append(idle)
             expired = self._take_expired(now_ms)
@@ -296,7 +316,7 @@
         for item in idle:
             item.conn.close()
 
-    def _take(self, backend: BackendId, fresh: bool) -> BoundedConnection | None:
+    def _take(self, backend: BackendId, fresh: bool, request_id: str) -> _Idle | None:
         while True:
             with self._lock:
                 idle = self._idle.get(backend)
@@ -305,10 +325,11 @@
                 item = idle.pop()
             now_ms = self._clock.elapsed_ms()
             stale = now_ms >= item.until_ms or _is_unusable(item.conn.sock)
+            stale = stale or (item.refused == request_id != "")
             if stale or (fresh and now_ms - item.since_ms > FRESH_IDLE):
                 item.conn.close()
                 continue
-            return item.conn
+            return item
 
 
 def _is_unusable(sock: socket.socket | None) -> bool:
--- a/packages/relay/tests/test_attempts.py
+++ b/packages/relay/tests/test_attempts.py
@@ -47,7 +47,7 @@
         self.shared = shared
         self.reported_before = None
 
-    def open(self, backend, address, fresh):
+    def open(self, backend, address, fresh, request_id=""):
         self.reported_before = list(self.shared.reported)
         raise ConnectFailed("refused")
 
--- a/packages/relay/tests/test_unwilling_servers.py
+++ b/packages/relay/tests/test_unwilling_servers.py
@@ -222,7 +222,7 @@
             CrashWatch(clock),
         )
 
-    def open(self, backend, address, fresh):
+    def open(self, backend, address, fresh, request_id=""):
         return ModelExchange(lambda: self._servers.answer(self._name, backend))
 
     def keep(self, backend, exchange):
--- a/packages/testing/src/nutmegdrum_testing/scripted_backend.py
+++ b/packages/testing/src/nutmegdrum_testing/scripted_backend.py
@@ -16,6 +16,8 @@
     ----------
     gone : threading.Event
         Set when `wait_gone` has seen that the peer closed the connection.
+    conn_requests : int
+        Requests received on this connection so far, this one included.
     """
 
     def __init__(self, handler: "_Handler", body: bytes):
@@ -25,6 +27,7 @@
         self.headers = {name.lower(): value for name, value in handler.headers.items()}
         self.body = body
         self.gone = threading.Event()
+        self.conn_requests = handler.requests
 
     def answer(self, status: int, body: bytes = b"", **headers: str) -> None:
         """Send a complete answer; underscores in header names become dashes."""
@@ -89,6 +92,7 @@
 
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    requests = 0
     server: "_Server"
 
     def abandon(self) -> None:
@@ -97,6 +101,7 @@
         self.wfile = _NoFile()
 
     def _serve(self) -> None:
+        self.requests += 1
         length = int(self.headers.get("Content-Length", "0"))
         received = Received(self, self.rfile.read(length))
         self.server.received.append(received)
