Keep errors of the next engine out of a caller's stream

What callers saw: a stream had begun and broke off, and the next engine answered with an error that says 200, or with text that is no event. The relay wrote the text into the stream, or ended the stream as if it were complete after three of six events. An error with its own status was handled.

Cause: what followed the head of the second answer was believed to be the stream's events. Now an answer of another media type than the stream's is a failed attempt, text without any field of an event is no event of it, and what a resumed engine sends begins with a numbered event. The stream goes on at a further engine after its last event.

--- a/packages/relay/src/nutmegdrum_relay/sse.py
+++ b/packages/relay/src/nutmegdrum_relay/sse.py
@@ -4,6 +4,7 @@
 
 _END = b"\n\n"
 _ID = b"id:"
+_FIELDS = frozenset({b"data", b"event", b"id", b"retry"})
 
 
 class Event(NamedTuple):
@@ -18,6 +19,11 @@
         lines = self.data.split(b"\n")
         return all(line.startswith(b":") for line in lines if line)
 
+    @property
+    def has_field(self) -> bool:
+        """Return whether any line is a field of an event; foreign text has none."""
+        return any(line.partition(b":")[0] in _FIELDS for line in self.data.split(b"\n"))
+
 
 class EventSplitter:
     """Splits a stream into complete events; buffers an incomplete one until its end arrives."""
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -25,6 +25,7 @@
 from nutmegdrum_relay.backends import Backend
 from nutmegdrum_relay.callers import Call, CallerDisconnected
 from nutmegdrum_relay.decisions import log_decision
+from nutmegdrum_relay.dialect import Headers
 from nutmegdrum_relay.headers import answer_headers
 from nutmegdrum_relay.retry_policy import FailedAttempts, Loss, may_retry
 from nutmegdrum_relay.sse import Event, EventSplitter
@@ -50,6 +51,7 @@
 
     last_event_id: str
     head_sent: bool = False
+    media_type: str = ""
     failed_attempts: FailedAttempts = field(default_factory=FailedAttempts)
     tried: list[BackendId] = field(default_factory=list)
     copy: Backend | None = None
@@ -149,8 +151,12 @@
         status = attempt.answer.status
         if status != _OK:
             return self._forward_failure(call, pending, state, attempt)
+        media_type = _media_type(attempt.answer.headers)
+        if state.media_type and media_type and media_type != state.media_type:
+            raise AttemptLost(Loss.FAILED, f"an answer of type {media_type!r} within a stream")
         if not state.head_sent:
             state.head_sent = True
+            state.media_type = media_type
             call.start(status, answer_headers(attempt.answer.headers))
         splitter = EventSplitter()
         try:
@@ -175,14 +181,34 @@
     def _write(
         self, call: Call, state: _StreamState, attempt: Attempt, events: list[Event]
     ) -> bool:
-        """Send new events to the caller; return whether any of them is more than a comment."""
-        attempt.events += sum(not event.is_comment for event in events)
-        new = [event for event in events if _is_new(event.id, state.last_event_id)]
+        """Send new events to the caller; return whether any of them is more than a comment.
+
+        Raises
+        ------
+        AttemptLost
+            If the stream contains text that is no event of it, after the events before that.
+        """
+        own = []
+        for event in events:
+            if not self._is_own(event, state, attempt):
+                break
+            attempt.events += not event.is_comment
+            own.append(event)
+        new = [event for event in own if _is_new(event.id, state.last_event_id)]
         if new:
             call.write(b"".join(event.data for event in new))
             state.last_event_id = new[-1].id or state.last_event_id
+        if len(own) < len(events):
+            raise AttemptLost(Loss.BROKEN, "text that is no event of the stream")
         return not all(event.is_comment for event in new)
 
+    def _is_own(self, event: Event, state: _StreamState, attempt: Attempt) -> bool:
+        """Return whether an event belongs to the stream; one that goes on begins with a number."""
+        if event.is_comment:
+            return True
+        goes_on = not attempt.events and parse_count(state.last_event_id) is not None
+        return event.has_field and not (goes_on and parse_count(event.id) is None)
+
     def _forward_failure(
         self, call: Call, pending: PendingRequest, state: _StreamState, attempt: Attempt
     ) -> int:
@@ -231,6 +257,11 @@
         raise state.failed_attempts.refusal(pending.route, left, v.BACKEND_LOST, backoff_left)
 
 
+def _media_type(headers: Headers) -> str:
+    types = [value for name, value in headers if name.lower() == "content-type"]
+    return types[0].partition(";")[0].strip().lower() if types else ""
+
+
 def _is_new(event_id: str, last_id: str) -> bool:
     """Return whether an event is new; engines number the events of a stream in rising order."""
     number, last = parse_count(event_id), parse_count(last_id)
--- a/packages/relay/tests/test_misplaced_answers.py
+++ b/packages/relay/tests/test_misplaced_answers.py
@@ -71,6 +71,40 @@
         assert len(ran(backends, "q1")) == 3
 
 
+class TestErrorsInStreams:
+    @pytest.mark.parametrize(
+        "error",
+        [
+            lambda r: r.answer(500, b"engine failed\n\n", X_Id="q1"),
+            lambda r: r.answer(200, b"engine failed\n\n", X_Id="q1", Content_Type="text/plain"),
+            lambda r: r.send_raw(
+                b"HTTP/1.1 200 OK\r\nX-Id: q1\r\nContent-Type: text/event-stream\r\n\r\n"
+                b"HTTP/1.1 500 Error\nContent-Length: 5\n\nerror\n\n"
+            ),
+        ],
+        ids=["status", "type", "head"],
+    )
+    def test_an_error_of_the_next_engine_does_not_enter_the_callers_stream(self, world, error):
+        failed = threading.Event()
+
+        def script(received):
+            first = int(received.headers.get("x-last", "0")) + 1
+            if first > 1 and not failed.is_set():
+                failed.set()
+                error(received)
+                return
+            received.start_events(X_Id="q1")
+            for number in range(first, first + 3):
+                received.event(number)
+            received.end_events() if first > 1 else received.reset()
+
+        world.add(script, script, script)
+        status, _, body = get(world, "/stream/x", "POST")
+        assert (status, numbers(body)) == (200, [1, 2, 3, 4, 5, 6])
+        assert b"rror" not in body
+        assert b"engine" not in body
+
+
 class TestUnframedAnswers:
     HEAD = b"HTTP/1.1 200 OK\r\nX-Id: q1\r\nContent-Type: text/event-stream\r\n\r\n"
 
