Reject a truncated head on the engine protocol of the own gateway

What callers could see: an engine that closes inside the head of its answer counted by the status line that had come: as busy or without the model, which says that the request did not run. Four cases of the new test failed before.

Cause: http.client takes the end of the connection for the end of the head, and only one of the two response classes looked. Class: a promise kept on one of two data paths. Both share one base now.

--- a/packages/kernel/src/nutmegdrum/bounded_http.py
+++ b/packages/kernel/src/nutmegdrum/bounded_http.py
@@ -88,18 +88,12 @@
         self.file.close()
 
 
-class BoundedResponse(PlainResponse):
-    """Response of bounded size and time.
+class WholeHeadResponse(PlainResponse):
+    """Response whose head must be complete.
 
-    Rejects a response whose head is cut off by the end of the connection; `http.client` would
-    accept it as complete.
+    `http.client` would accept a head that is cut off by the end of the connection.
     """
 
-    def __init__(self, bounds: Bounds, sock: socket.socket, *args, **kwargs):
-        super().__init__(sock, *args, **kwargs)
-        self.fp.close()
-        self.fp = io.BufferedReader(_BoundedFile(sock, bounds))
-
     def begin(self) -> None:
         """Read the status line and headers."""
         reader = _HeadReader(self.fp)
@@ -113,6 +107,15 @@
             raise IncompleteRead(b"")
 
 
+class BoundedResponse(WholeHeadResponse):
+    """Response of bounded size and time."""
+
+    def __init__(self, bounds: Bounds, sock: socket.socket, *args, **kwargs):
+        super().__init__(sock, *args, **kwargs)
+        self.fp.close()
+        self.fp = io.BufferedReader(_BoundedFile(sock, bounds))
+
+
 class BoundedConnection(HTTPConnection):
     """Connection whose responses have `bounds`, which must be renewed before each part is read."""
 
--- a/packages/kernel/tests/test_plain_http.py
+++ b/packages/kernel/tests/test_plain_http.py
@@ -1,5 +1,6 @@
 """Plain services whose responses are slow, endless, incomplete or not HTTP."""
 
+import contextlib
 import threading
 
 import pytest
@@ -9,6 +10,7 @@
 from nutmegdrum.settings import BackendSettings
 from nutmegdrum_coord.clock import SystemClock
 from nutmegdrum_testing.endless_server import ENDLESS_HEADS, EndlessServer
+from nutmegdrum_testing.scripted_backend import ScriptedBackend
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CALL = PlainCall("POST", "/book", {}, b"x", 1)
@@ -53,6 +55,16 @@
     return result[0]
 
 
+class TestTruncatedHead:
+    @pytest.mark.parametrize("status", [b"200 OK", b"503 Unavailable"])
+    @pytest.mark.parametrize("rest", [b"", b"Content-Le", b"Content-Length: 0\r\n"])
+    def test_is_a_loss_whatever_its_status(self, status, rest):
+        service = ScriptedBackend(lambda r: r.send_raw(b"HTTP/1.1 %b\r\n%b" % (status, rest)))
+        with contextlib.ExitStack() as stack:
+            stack.callback(service.stop)
+            assert call(service).kind is LossKind.RESET
+
+
 class TestEndlessResponses:
     @pytest.mark.parametrize("name", ENDLESS_HEADS)
     def test_endless_head_is_rejected(self, serve, name):
--- a/packages/plugins/src/nutmegdrum_plugins/http_engine.py
+++ b/packages/plugins/src/nutmegdrum_plugins/http_engine.py
@@ -17,7 +17,7 @@
 
 import msgspec
 from nutmegdrum.backends import TokenSource
-from nutmegdrum.bounded_http import MAX_HEAD
+from nutmegdrum.bounded_http import MAX_HEAD, WholeHeadResponse
 from nutmegdrum.messages import (
     BackendLost,
     CacheEvent,
@@ -141,7 +141,7 @@
         super().close()
 
 
-class _Response(http.client.HTTPResponse):
+class _Response(WholeHeadResponse):
     """Response that reports whether more of its body is buffered."""
 
     def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any):
--- a/packages/plugins/tests/test_http_engine.py
+++ b/packages/plugins/tests/test_http_engine.py
@@ -225,6 +225,11 @@
         script = [b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status]
         assert self.lose(engines(script).settings) == (kind, True)
 
+    @pytest.mark.parametrize("status", [200, 404, 429, 503])
+    def test_a_truncated_head_is_a_reset_whatever_its_status(self, engines, status):
+        script = [b"HTTP/1.1 %d X\r\nContent-Len" % status, b"close"]
+        assert self.lose(engines(script).settings) == (LossKind.RESET, True)
+
     def test_malformed_line(self, engines):
         assert self.lose(engines([HEAD, chunk(b"{]\n")]).settings) == (LossKind.ERROR, True)
 
