Name the part that explains most crashes, and no other with it

What callers would see: sound requests refused for ten minutes because a part that all prompts begin with was quarantined beside the deadly one, or instead of it.

Cause: a part was judged by its own count alone, at once after its third crash. While engines crash one after the other, every part that is often at its beginning has such a count, and the parts that came with the deadly one kept theirs.

A quarantine is lifted when a part is named that explains all of its crashes and more.

--- a/packages/coord/src/nutmegdrum_coord/quarantine.py
+++ b/packages/coord/src/nutmegdrum_coord/quarantine.py
@@ -173,6 +173,7 @@
     quarantines: list[tuple[Fingerprint, LogMs]]
     parts: PartsSnapshot = msgspec.field(default_factory=PartsSnapshot)
     explained: list[PartCrash] = []
+    part_crashes: dict[Fingerprint, list[PartCrash]] = {}
 
 
 class Quarantine:
@@ -210,6 +211,7 @@
         self._quarantines: OrderedDict[Fingerprint, LogMs] = OrderedDict()
         self._parts = PartSuspects()
         self._explained: list[PartCrash] = []
+        self._part_crashes: dict[Fingerprint, list[PartCrash]] = {}
 
     def apply(self, ctx: Context, command: Any) -> QuarantineAnswer:
         """Apply one command and return its answer."""
@@ -265,6 +267,7 @@
             quarantines=list(self._quarantines.items()),
             parts=self._parts.snapshot(),
             explained=self._explained,
+            part_crashes=self._part_crashes,
         )
 
     def restore(self, state: bytes) -> None:
@@ -276,6 +279,7 @@
         self._quarantines = OrderedDict(snapshot.quarantines)
         self._parts.restore(snapshot.parts)
         self._explained = snapshot.explained
+        self._part_crashes = snapshot.part_crashes
 
     def _quarantined_until(self, command: Any) -> LogMs | None:
         """Return the end of the quarantine of the command's request or of a part of its prompt."""
@@ -285,13 +289,13 @@
 
     def _report_crash(self, ctx: Context, command: ReportCrash) -> QuarantineAnswer:
         died = LogMs(ctx.at - command.died_ms_ago)
-        crash = PartCrash(command.backend, command.fingerprint, died)
+        crash = PartCrash(command.backend, died, (command.fingerprint,))
         if any(part in self._quarantines for part in command.parts):
             self._explain(crash)
         elif any(crash.is_at(known.backend, known.died) for known in self._explained):
             return SuspectNoted()
         elif command.parts:
-            self._parts.on_crash(ctx.at, command.parts, crash)
+            self._parts.on_crash(command.parts, command.backend, command.fingerprint, died)
             self._quarantine_parts(ctx)
         until = self._quarantined_until(command)
         if until is not None:
@@ -300,10 +304,25 @@
 
     def _quarantine_parts(self, ctx: Context) -> None:
         for part, crashes in self._parts.decide(ctx.at):
+            self._lift_explained(ctx, crashes)
             self._quarantine(ctx, part, crashes)
+            self._part_crashes[part] = crashes
             for crash in crashes:
                 self._explain(crash)
 
+    def _lift_explained(self, ctx: Context, crashes: list[PartCrash]) -> None:
+        """Lift quarantines of parts that came with one that explains more than their crashes."""
+        for part, theirs in list(self._part_crashes.items()):
+            if len(theirs) < len(crashes) and all(
+                any(crash.is_at(c.backend, c.died) for c in crashes) for crash in theirs
+            ):
+                self._lift(ctx, part)
+
+    def _lift(self, ctx: Context, part: Fingerprint) -> None:
+        self._part_crashes.pop(part, None)
+        if self._quarantines.pop(part, None) is not None:
+            ctx.audit("quarantine lifted", part)
+
     def _explain(self, crash: PartCrash) -> None:
         """Stop counting a crash, which a quarantined part caused, for other requests."""
         self._explained = [*self._explained, crash][-MAX_EXPLAINED:]
@@ -322,8 +341,7 @@
         if until is None:
             self._parts.on_sound_start(part, started)
         elif is_part(part) and started > until - self._quarantine_ms:
-            del self._quarantines[part]
-            ctx.audit("quarantine lifted", part)
+            self._lift(ctx, part)
 
     def _report(self, ctx: Context, command: ReportCrash) -> QuarantineAnswer:
         crash = _Crash(
@@ -429,6 +447,7 @@
             self._crashes.popitem(last=False)
         while self._quarantines and next(iter(self._quarantines.values())) <= ctx.at:
             fingerprint, _ = self._quarantines.popitem(last=False)
+            self._part_crashes.pop(fingerprint, None)
             ctx.audit("quarantine ended", fingerprint)
 
     def _oldest_crash(self) -> _Crash:
