--- a/packages/relay/tests/test_state_role.py
+++ b/packages/relay/tests/test_state_role.py
@@ -19,7 +19,7 @@
 from nutmegdrum_relay.rollouts import OtherRollout
 from nutmegdrum_relay.settings import Listen, Place, RelayRole, RelaySettings
 from nutmegdrum_relay.state_role import StatePeers, StateRole
-from nutmegdrum_relay.views import ControlView, CrashReport, EntryReport
+from nutmegdrum_relay.views import ControlView, CrashReport, EntryReport, SoundPart
 from nutmegdrum_testing.relay_dialect import PlainDialect
 from nutmegdrum_testing.waiting import wait_for
 from nutmegdrum_wire.gen.messages.ttypes import Sender
@@ -329,6 +329,23 @@
         others = [r for r in cluster if r is not leader]
         wait_for(lambda: any(send_report(r).fresh and send_report(r).quarantined for r in others))
 
+    def test_a_part_is_quarantined_unless_a_sound_start_is_reported(self, cluster):
+        def report_crash(number):
+            parts = ("part:s/deadly", "part:s/sound")
+            crash = CrashReport(f"f{number}", f"b{number}", 0, 0, 0, parts)
+            return any(send_report(r, crashes=(crash,)).fresh for r in cluster)
+
+        def told(name):
+            return next((v for r in cluster if (v := getattr(send_report(r), name))), None)
+
+        wait_for(lambda: any(r.leads() for r in cluster))
+        for number in range(3):
+            wait_for(lambda n=number: report_crash(n))
+        assert set(wait_for(lambda: told("suspect_parts"))) == {"part:s/deadly", "part:s/sound"}
+        sound = (SoundPart("part:s/sound", 0),)
+        wait_for(lambda: any(send_report(r, sound_parts=sound).fresh for r in cluster))
+        assert [q.fingerprint for q in wait_for(lambda: told("quarantined"))] == ["part:s/deadly"]
+
     def test_a_successful_run_clears_a_suspect(self, cluster):
         wait_for(lambda: any(r.leads() for r in cluster))
         for number in range(2):
--- a/packages/testing/src/nutmegdrum_testing/soak/callers.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/callers.py
@@ -84,7 +84,12 @@
                 self.problems.append(f"{request_id} took {took:.1f} s: {outcome}")
 
     def call(
-        self, kind: Kind, request_id: str, entry: Address, request_body: bytes = b"body"
+        self,
+        kind: Kind,
+        request_id: str,
+        entry: Address,
+        request_body: bytes = b"body",
+        parts: str = "system,own",
     ) -> str:
         """Send one request, check its answer, and return its status or the exception's name."""
         conn = http.client.HTTPConnection(entry.host, entry.port, timeout=10)
@@ -95,6 +100,7 @@
             "X-Deadline": str(DEADLINE_MS),
             "X-Prompt": "400",
             "X-Output": "100",
+            "X-Parts": parts,
         }
         try:
             conn.request("POST", f"/{kind.value}/x", request_body, headers)
--- a/packages/testing/src/nutmegdrum_testing/soak/engines.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/engines.py
@@ -23,6 +23,9 @@
 CRASHING_BODY = b"culprit"
 """Body of a request that crashes every backend server after its first event."""
 
+DEADLY_PART = "deadly"
+"""Part of a prompt that does the same, in requests that differ."""
+
 FIRST_VERSION = "v1"
 BAD_FAILURES = 0.6
 """Share of the requests that a bad version answers with status 500."""
@@ -155,7 +158,7 @@
                 self._record_time(self.failed_at_s, version)
         if received.target == "/x-report":
             received.answer(200)
-        elif received.body == CRASHING_BODY:
+        elif received.body == CRASHING_BODY or DEADLY_PART in received.headers.get("x-parts", ""):
             self._crash_under_request(received)
         elif fault == "full":
             received.answer(503, X_Not_Run="1")
--- a/packages/testing/src/nutmegdrum_testing/soak/world.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/world.py
@@ -5,6 +5,7 @@
 import subprocess
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -14,7 +15,7 @@
 from nutmegdrum_testing.processes import Processes, RunningProcess, free_ports
 from nutmegdrum_testing.soak.callers import Callers, Kind
 from nutmegdrum_testing.soak.documents import DEPLOYMENT, IN_FORCE_S, Operator
-from nutmegdrum_testing.soak.engines import CRASHING_BODY, Engines
+from nutmegdrum_testing.soak.engines import CRASHING_BODY, DEADLY_PART, Engines
 from nutmegdrum_testing.soak.rollouts import RollOuts
 from nutmegdrum_testing.waiting import wait_for
 
@@ -30,7 +31,11 @@
 CONTACT_S = 3.0
 MAX_LATE_CRASHES = 3
 """How often a request that crashes its backend servers is sent, and how many backend servers may
-still crash later than `CONTACT_S` after the third crash (the users' bound)."""
+still crash later than `CONTACT_S` after a number of crashes (the users' bounds)."""
+
+CRASHES_OF_A_REQUEST = 3
+CRASHES_OF_A_PART = 5
+"""Crashes from which the users' bounds count."""
 
 STOP_S = 20.0
 """Time-out in s of a daemon's shutdown, several times `entry.stop_within`."""
@@ -168,7 +173,15 @@
         self._check_rollouts()
         before = self.callers.outcomes["stream 200"]
         self._expect("streams complete", lambda: self.callers.outcomes["stream 200"] > before + 3)
-        self._check_crashing_request()
+        self._check_crashing("request", CRASHES_OF_A_REQUEST, lambda n: (CRASHING_BODY, "own"))
+        self._check_crashing(
+            "part", CRASHES_OF_A_PART, lambda n: (b"body %d" % n, f"system,{DEADLY_PART},own")
+        )
+        before = self.callers.outcomes["stream 200"]
+        self._expect(
+            "streams that share a part with the deadly ones complete",
+            lambda: self.callers.outcomes["stream 200"] > before + 3,
+        )
         self.callers.faults_ended = True
         self._expect("a new document is acknowledged", self.operator.put_next)
         version = self.operator.acknowledged
@@ -185,20 +198,31 @@
             if rollout is None or rollout.target != self.roll_outs.target:
                 self.callers.problems.append(f"roll-out of {self.roll_outs.target} is lost")
 
-    def _check_crashing_request(self) -> None:
-        """Send a request that crashes its backend servers to each entry VM in turn."""
+    def _check_crashing(
+        self, what: str, allowed: int, request: Callable[[int], tuple[bytes, str]]
+    ) -> None:
+        """Send requests that crash their backend servers to each entry VM in turn.
+
+        Parameters
+        ----------
+        allowed : int
+            Crashes from which the bound counts.
+        request : callable
+            Returns body and parts of the prompt of a request, by its number.
+        """
+        self.engines.crashed_by_request_s.clear()
         outcomes = []
         for number in range(CRASHING_SENDS):
             entry = self.entry_addresses[number % ENTRIES]
             outcomes.append(
-                self.callers.call(Kind.STREAM, f"culprit-{number}", entry, CRASHING_BODY)
+                self.callers.call(Kind.STREAM, f"{what}-{number}", entry, *request(number))
             )
             time.sleep(CRASHING_PERIOD_S)
         crashed_s = self.engines.crashed_by_request_s
-        late = [at for at in crashed_s[3:] if at > crashed_s[2] + CONTACT_S]
+        late = [at for at in crashed_s[allowed:] if at > crashed_s[allowed - 1] + CONTACT_S]
         if len(late) > MAX_LATE_CRASHES or outcomes[-1] != "503":
             self.callers.problems.append(
-                f"{len(crashed_s)} engines crashed by one request, {len(late)} late: {outcomes}"
+                f"{len(crashed_s)} engines crashed by one {what}, {len(late)} late: {outcomes}"
             )
 
     def _expect(self, what: str, condition) -> None:
