Forget the crashes of a part when its quarantine is lifted

What callers would see: after a sound start had lifted the quarantine of an innocent part, its next crash quarantined it again at once. Its three old crashes were kept, as the sound start was applied to the quarantine only. Found by reading; the new test failed before (quarantined at 30 s again).

--- a/packages/coord/src/nutmegdrum_coord/part_suspects.py
+++ b/packages/coord/src/nutmegdrum_coord/part_suspects.py
@@ -22,7 +22,7 @@
 """Time in ms after its last crash for which a part remains a suspect."""
 
 SAME_DEATH_MS = 1_000
-"""Difference in ms up to which two times of death of one backend server are the same."""
+"""Time in ms within which reports of one backend server's death, or deaths of one cause, differ."""
 
 MAX_PART_SUSPECTS = 1_000
 MAX_CRASHES_KEPT = 16
@@ -149,6 +149,13 @@
         if not record.is_candidate():
             self._accused.pop(part, None)
 
+    def clear(self, part: Fingerprint) -> None:
+        """Drop the crashes of a part that was found innocent."""
+        record = self._records.get(part)
+        if record is not None:
+            record.crashes = []
+            self._accused.pop(part, None)
+
     def is_news(self, part: Fingerprint, at: LogMs) -> bool:
         """Return whether a sound start at log time `at` would change the evidence."""
         record = self._records.get(part)
--- a/packages/coord/src/nutmegdrum_coord/quarantine.py
+++ b/packages/coord/src/nutmegdrum_coord/quarantine.py
@@ -320,6 +320,7 @@
 
     def _lift(self, ctx: Context, part: Fingerprint) -> None:
         self._part_crashes.pop(part, None)
+        self._parts.clear(part)
         if self._quarantines.pop(part, None) is not None:
             ctx.audit("quarantine lifted", part)
 
@@ -338,9 +339,8 @@
         """Clear a part; one in quarantine that has a sound start since then was innocent."""
         part, started = command.fingerprint, LogMs(ctx.at - command.ms_ago)
         until = self._quarantines.get(part)
-        if until is None:
-            self._parts.on_sound_start(part, started)
-        elif is_part(part) and started > until - self._quarantine_ms:
+        self._parts.on_sound_start(part, started)
+        if until is not None and is_part(part) and started > until - self._quarantine_ms:
             self._lift(ctx, part)
 
     def _report(self, ctx: Context, command: ReportCrash) -> QuarantineAnswer:
--- a/packages/coord/tests/test_part_suspects.py
+++ b/packages/coord/tests/test_part_suspects.py
@@ -202,6 +202,30 @@
             assert service.quarantined_parts() == {part("t")}, seed
 
 
+class TestLiftedQuarantine:
+    def test_needs_as_much_new_evidence_as_the_first(self):
+        quarantine = Quarantine(600_000, 3)
+
+        def apply(at, command):
+            quarantine.apply(Context(1, LogMs(at), Envelope(command=b"")), command)
+
+        def crash(at):
+            fields = {"fingerprint": f"r{at}", "vm": "e", "backend": f"b{at}"}
+            apply(at, ReportCrash(**fields, parts=(part("innocent"),)))
+
+        def sound_start(at):
+            apply(at, EndTry(fingerprint=part("innocent"), vm="e", cleared=True))
+
+        for at in (10_000, 12_000, 14_000):
+            crash(at)
+        apply(16_000, EndTry(fingerprint="", vm="e", cleared=False))
+        assert part("innocent") in quarantine.quarantines(LogMs(16_000))
+        sound_start(17_000)
+        crash(18_000)
+        apply(30_000, EndTry(fingerprint="", vm="e", cleared=False))
+        assert not quarantine.quarantines(LogMs(30_000))
+
+
 class TestInnocentParts:
     @pytest.mark.parametrize("rate", [2, 10, 40])
     def test_outages_of_a_data_centre_name_no_part(self, rate):
