Count only answers with events as sound starts

An answer that ended without a failure cleared the parts of its prompt, also one with an error status below 500 and a stream that ended without an event. Neither shows that an engine can begin to answer a prompt with these parts; a deadly part would have been cleared by such an answer. Found by reading; no play showed it. Now three events are needed, as for an answer that is still running.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -408,8 +408,8 @@
         answer: AnswerHead,
         terms: AnswerTerms,
     ) -> None:
-        # A replaced server's answer to an earlier request says nothing of this one.
         own = terms.request_id == pending.terms.request_id
+        # On a kept connection, an answer without an id may be an earlier one sent once more.
         own = own or (not terms.request_id and not exchange.reused)
         if terms.other_backend and own:
             self._backends.on_replaced(backend)
@@ -451,21 +451,13 @@
         except ConnectionLost as exc:
             raise AttemptLost(Loss.BROKEN, str(exc)) from exc
 
-    def _on_past_beginning(self, pending: PendingRequest, attempt: Attempt) -> None:
-        if not attempt.past_beginning:
-            attempt.past_beginning = True
-            self._crash_watch.beginning.remove(attempt.exchange)
-            self._crash_watch.on_sound_start(pending.parts)
-
     def on_data(self, pending: PendingRequest, attempt: Attempt) -> None:
         """Record a received chunk of the answer; the first one ends the prompt's prefill."""
         self._backends.on_data(attempt.backend)
-        now_ms = self._clock.elapsed_ms()
         if attempt.first_data_ms is None:
-            attempt.first_data_ms = now_ms
-        wrote_ms = now_ms - attempt.first_data_ms
-        if attempt.events > EARLY_TOKENS and wrote_ms >= BEGINNING:
-            self._on_past_beginning(pending, attempt)
+            attempt.first_data_ms = self._clock.elapsed_ms()
+        if self._clock.elapsed_ms() - attempt.first_data_ms >= BEGINNING:
+            self._check_past_beginning(pending, attempt)
         self._tally_chunk(attempt)
         if attempt.work.unread:
             read = Work(attempt.work.unread, 0)
@@ -488,7 +480,7 @@
         self._tally_end(pending, attempt, failed)
         if not failed:
             self._crash_watch.on_success(pending.fingerprint)
-            self._on_past_beginning(pending, attempt)
+            self._check_past_beginning(pending, attempt)
         elif attempt.answer.status < FAILED_STATUS and not attempt.exchange.aborted:
             self._report_broken(
                 pending, attempt.backend, attempt.sent_ms, attempt.events, attempt.first_data_ms
@@ -497,6 +489,12 @@
             self._backends.change_work(attempt.copy, NO_WORK, _copy_work(pending))
         self._end(pending, attempt.backend, attempt.exchange, attempt.work, keep)
 
+    def _check_past_beginning(self, pending: PendingRequest, attempt: Attempt) -> None:
+        if attempt.events > EARLY_TOKENS and not attempt.past_beginning:
+            attempt.past_beginning = True
+            self._crash_watch.beginning.remove(attempt.exchange)
+            self._crash_watch.on_sound_start(pending.parts)
+
     def _report_broken(
         self,
         pending: PendingRequest,
