Prove the deadly part on the own gateway's real processes

Three state replicas, two entry VMs and nine engines as processes: prompts with one deadly line are refused everywhere while engines are left, and sound prompts that share the system line are answered all the while.

--- a/packages/kernel/tests/test_plain_processes.py
+++ b/packages/kernel/tests/test_plain_processes.py
@@ -1,3 +1,4 @@
+import itertools
 import random
 import threading
 from collections import Counter
@@ -11,6 +12,9 @@
 
 CALL_MS = 20
 DISPATCH_DEADLINE_MS = 2_000
+CRASHES_ALLOWED, REQUESTS_ALLOWED = 5, 3
+"""The users' bound on a deadly part: crashes, and requests that may still be sent 3 s later."""
+
 OPTIONS = Options(
     states=3, entries=2, engines=1, plains=2, plain_options=["--call-ms", str(CALL_MS)]
 )
@@ -201,6 +205,26 @@
             assert len(dead) == 2
             caller.generate("m", "a hive's history", 20, entry=1).check(20)
 
+    def test_different_prompts_with_a_deadly_line_are_refused_while_engines_are_left(self):
+        options = Options(states=3, entries=2, engines=9, engine_options=["--token-ms", "20"])
+        with Deployment(options) as deployment:
+            caller = deployment.caller()
+            for engine in deployment.engines:
+                engine.control.set_faults(Fault(kind=FaultKind.DIE, prompt="deadly"))
+            numbers = itertools.count()
+
+            def is_refused_unsent():
+                number = next(numbers)
+                sound = caller.generate("m", f"system\nsound\nq{number}", 20, entry=number % 2)
+                sound.check(20)
+                deadly = f"system\ndeadly\nq{number}"
+                result = caller.generate("m", deadly, 20, entry=number % 2)
+                return _quarantined(result).problem.verdict == "not-run"
+
+            wait_for(is_refused_unsent)
+            dead = [e for e in deployment.engines if e.process.exit_code is not None]
+            assert len(dead) <= CRASHES_ALLOWED + REQUESTS_ALLOWED
+
 
 def _refused(result):
     return result if result.problem is not None else None
