--- a/packages/relay/src/nutmegdrum_relay/state_role.py
+++ b/packages/relay/src/nutmegdrum_relay/state_role.py
@@ -373,6 +373,7 @@
                 for sound in report.sound_parts
                 if self._quarantine.is_news(sound.part, LogMs(at - sound.ms_ago))
             ]
+            # Any command decides what is due; this one changes nothing else.
             if not commands and self._quarantine.is_part_due(at):
                 commands = [EndTry(fingerprint=Fingerprint(""), vm=report.vm, cleared=False)]
         return commands
