Work out a prompt's parts once for each choice of an engine

GuardedRouting hashed the request and the lines of its prompt again for a suspect; both are passed on now. The quarantines of a view are merged in one pass instead of two.

--- a/packages/kernel/src/nutmegdrum/guarded_routing.py
+++ b/packages/kernel/src/nutmegdrum/guarded_routing.py
@@ -1,7 +1,7 @@
 """Routing that refuses quarantined requests and isolates suspects."""
 
 import msgspec
-from nutmegdrum_coord.ids import BackendId
+from nutmegdrum_coord.ids import BackendId, Fingerprint
 from nutmegdrum_coord.verdict import OVERLOADED, Reason, Refusal, Verdict
 
 from nutmegdrum.crashguard import CrashGuard, ReservationResult
@@ -33,19 +33,21 @@
             `QUARANTINED` if the request is known to crash backend servers.
         """
         fingerprint = generation_fingerprint(query.workspace, query.model, query.prompt)
+        parts = prompt_parts(query.model, query.prompt)
         try:
-            self._guard.check(fingerprint, prompt_parts(query.model, query.prompt))
+            self._guard.check(fingerprint, parts)
             if not self._guard.suspected(fingerprint):
                 return self._router.choose(msgspec.structs.replace(query, isolated=False))
-            return self._reserve(msgspec.structs.replace(query, isolated=True))
+            isolated = msgspec.structs.replace(query, isolated=True)
+            return self._reserve(isolated, fingerprint, parts)
         except Refusal as refusal:
             if query.excluded:
                 refusal.verdict = Verdict.MAY_HAVE_RUN
             raise
 
-    def _reserve(self, query: RouteQuery) -> Choice | Reason:
-        fingerprint = generation_fingerprint(query.workspace, query.model, query.prompt)
-        parts = prompt_parts(query.model, query.prompt)
+    def _reserve(
+        self, query: RouteQuery, fingerprint: Fingerprint, parts: tuple[Fingerprint, ...]
+    ) -> Choice | Reason:
         while True:
             choice = self._router.choose(query)
             if isinstance(choice, Reason):
--- a/packages/kernel/src/nutmegdrum/suspects.py
+++ b/packages/kernel/src/nutmegdrum/suspects.py
@@ -55,9 +55,12 @@
 
         Quarantines of parts are replaced, since the leader may lift them.
         """
-        own = {f: until for f, until in self._quarantines.items() if not is_part(f)}
         self._quarantines = {
-            **{f: until for f, until in own.items() if until > received_ms},
+            **{
+                f: until
+                for f, until in self._quarantines.items()
+                if until > received_ms and not is_part(f)
+            },
             **{q.fingerprint: received_ms + q.remaining_ms for q in quarantines},
         }
         self._reported = frozenset(suspects)
