--- a/packages/coord/src/nutmegdrum_coord/part_suspects.py
+++ b/packages/coord/src/nutmegdrum_coord/part_suspects.py
@@ -19,13 +19,15 @@
 """Time in ms within which they report later sound starts of a part that they are asked about."""
 
 SUSPICION_MS = 600_000
-"""Time in ms after its last crash for which a part remains a suspect."""
+"""Time in ms after its last crash for which a request or part remains a suspect."""
 
 SAME_DEATH_MS = 1_000
 """Time in ms within which reports of one backend server's death, or deaths of one cause, differ."""
 
 MAX_PART_SUSPECTS = 1_000
 MAX_CRASHES_KEPT = 16
+"""Newest crashes kept for each suspect; a long stream may lose many backend servers."""
+
 MAX_REQUESTS_KEPT = 16
 
 MAX_SHOWN = 100
--- a/packages/coord/src/nutmegdrum_coord/quarantine.py
+++ b/packages/coord/src/nutmegdrum_coord/quarantine.py
@@ -8,11 +8,15 @@
 
 from nutmegdrum_coord.clock import LogMs
 from nutmegdrum_coord.ids import BackendId, Fingerprint, VmId
-from nutmegdrum_coord.part_suspects import PartCrash, PartsSnapshot, PartSuspects
+from nutmegdrum_coord.part_suspects import (
+    MAX_CRASHES_KEPT,
+    SUSPICION_MS,
+    PartCrash,
+    PartsSnapshot,
+    PartSuspects,
+)
 from nutmegdrum_coord.parts import Answer, Command, Context
 
-SUSPICION_MS = 600_000
-"""Time in ms after its last crash for which a request remains a suspect."""
 QUARANTINE_MS = 3_600_000
 RESERVATION_MS = 5_000
 """Time in ms after which the reservation of a backend server for a try expires."""
@@ -26,8 +30,6 @@
 """Crashes after at most this many tokens count as crashes at the same point."""
 CRASHES_AT_ANY_POINT = 4
 """Number of crashes after which a crash of a reserved try leads to quarantine at any point."""
-MAX_CRASHES_KEPT = 16
-"""Number of newest crashes kept for each request; a long stream may lose many backend servers."""
 CORRELATED_DEATHS_MS = 1_000
 """Time in ms within which the deaths of a data centre's backend servers are detected. Three crashes
 are counted within twice this time, and so within the 3 s that users allow crashing requests."""
