--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -8,6 +8,7 @@
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.quarantine import EARLY_TOKENS
 from nutmegdrum_coord.verdict import Refusal
+from prometheus_client import Counter
 
 from nutmegdrum_relay.backends import Backend, Backends
 from nutmegdrum_relay.crash_watch import BEGINNING, BrokenAttempt, CrashWatch
@@ -21,6 +22,7 @@
 from nutmegdrum_relay.running import RunningStreams
 from nutmegdrum_relay.targets import EntryVmTarget, ServerTarget, Target
 from nutmegdrum_relay.upstream import (
+    AbortReason,
     AnswerHead,
     ConnectFailed,
     ConnectionLost,
@@ -39,24 +41,44 @@
 answers are still delivered; requests may be held 250 ms too long (the users' price list)."""
 
 
+RESENT = Counter(
+    "nutmegdrum_requests_resent", "Requests sent again, by the loss before", ["service", "reason"]
+)
+
+
 class AttemptLost(Exception):
-    """Raised when an attempt ends without an answer that can be forwarded."""
+    """Raised when an attempt ends without an answer that can be forwarded.
 
-    def __init__(self, loss: Loss, detail: str = ""):
+    Attributes
+    ----------
+    aborted : AbortReason or None
+        Why this VM ended it; None if it did not.
+    """
+
+    def __init__(self, loss: Loss, detail: str = "", aborted: AbortReason | None = None):
         super().__init__(detail or loss.value)
         self.loss = loss
+        self.aborted = aborted
+
+    @property
+    def reason(self) -> str:
+        """Return the loss, or why this VM ended the attempt."""
+        return self.loss.value if self.aborted is None else self.aborted.value
 
 
 def log_attempt_lost(
     pending: PendingRequest, backend: Backend, lost: AttemptLost, **more: object
 ) -> None:
-    """Log an attempt that ended without an answer to forward."""
+    """Log an attempt that ended without an answer to forward, and record why it is repeated."""
+    if pending.sends:
+        pending.resend_reason = lost.reason
     log_decision(
         "attempt_lost",
         request=pending.terms.request_id,
         fingerprint=pending.fingerprint,
         backend=backend.id,
         loss=lost.loss.value,
+        reason=lost.reason,
         **more,
         detail=str(lost),
     )
@@ -211,10 +233,13 @@
                 copy_at=copy_at.address if copy_at else None,
             )
             headers = self._target(backend).headers(pending, terms)
+            self._count_send(pending)
             log_decision(
                 "attempt_sent",
                 request=pending.terms.request_id,
                 backend=backend.id,
+                send=pending.sends,
+                resend_reason=pending.resend_reason,
                 route=pending.route.name,
                 unread=backend.work.unread,
                 resident=backend.work.resident,
@@ -246,6 +271,11 @@
             self._backends.change_work(copy_to, _copy_work(pending), NO_WORK)
         return attempt
 
+    def _count_send(self, pending: PendingRequest) -> None:
+        if pending.sends:
+            RESENT.labels(pending.service.name, pending.resend_reason).inc()
+        pending.sends += 1
+
     def _target(self, backend: Backend) -> Target:
         return self._entry_vms if backend.is_entry_vm else self._servers
 
@@ -289,7 +319,7 @@
             raise AttemptLost(Loss.SILENT, "no response headers in time") from exc
         except ConnectionLost as exc:
             self._backends.on_answer(backend, failed=True)
-            raise AttemptLost(Loss.BROKEN, str(exc)) from exc
+            raise AttemptLost(Loss.BROKEN, str(exc), exchange.aborted) from exc
         self._backends.on_data(backend)
         loss = self._target(backend).refusal_loss(answer.headers)
         if loss is not None:
@@ -321,7 +351,7 @@
             self._discard_body(exchange)
             raise AttemptLost(Loss.NOT_RUN, f"status {answer.status}")
         if terms.request_id != pending.terms.request_id:
-            exchange.abort()
+            exchange.abort(AbortReason.UNUSABLE_ANSWER)
             raise AttemptLost(Loss.BROKEN, "the answer belongs to another request")
 
     def _discard_body(self, exchange: Exchange) -> None:
@@ -330,7 +360,7 @@
             for _ in exchange.chunks(Duration(100)):
                 pass
         except (TimeoutError, ConnectionLost):
-            exchange.abort()
+            exchange.abort(AbortReason.UNUSABLE_ANSWER)
 
     def on_broken(self, attempt: Attempt) -> None:
         """Pause an engine that broke off a stream; most such engines have crashed."""
@@ -350,7 +380,7 @@
         except TimeoutError as exc:
             raise AttemptLost(Loss.SILENT, "the body did not end in time") from exc
         except ConnectionLost as exc:
-            raise AttemptLost(Loss.BROKEN, str(exc)) from exc
+            raise AttemptLost(Loss.BROKEN, str(exc), attempt.exchange.aborted) from exc
 
     def on_data(self, pending: PendingRequest, attempt: Attempt) -> None:
         """Record a received chunk of the answer; the first one ends the prompt's prefill."""
--- a/packages/relay/src/nutmegdrum_relay/pending_request.py
+++ b/packages/relay/src/nutmegdrum_relay/pending_request.py
@@ -10,7 +10,7 @@
 from nutmegdrum_relay.dialect import Headers, RequestTerms
 from nutmegdrum_relay.documents import Route, Service
 from nutmegdrum_relay.placement import Demand
-from nutmegdrum_relay.upstream import Exchange
+from nutmegdrum_relay.upstream import AbortReason, Exchange
 
 
 @dataclass(eq=False)
@@ -33,6 +33,10 @@
         Whether another entry VM passed it on to this one.
     sent : int
         Backend servers that earlier attempts may have reached.
+    sends : int
+        Times that it has been sent to a backend server or another entry VM.
+    resend_reason : str
+        Why it is sent again; the loss of the last attempt.
     caller_gone : bool
         Whether the caller has closed its connection.
     ended : bool
@@ -55,6 +59,8 @@
     document: int = 0
     passed_on: bool = False
     sent: int = 0
+    sends: int = 0
+    resend_reason: str = ""
     caller_gone: bool = False
     ended: bool = False
     _exchange: Exchange | None = None
@@ -69,18 +75,22 @@
         with self._lock:
             self.caller_gone = True
             if self._exchange is not None:
-                self._exchange.abort()
+                self._exchange.abort(AbortReason.CALLER_GONE)
 
     def end(self) -> None:
         """Abort the current exchange because this VM is being stopped."""
         with self._lock:
             self.ended = True
             if self._exchange is not None:
-                self._exchange.abort()
+                self._exchange.abort(AbortReason.STOPPING)
 
     def set_exchange(self, exchange: Exchange | None) -> None:
         """Set the exchange in progress; abort it if the request has ended already."""
         with self._lock:
             self._exchange = exchange
-            if (self.caller_gone or self.ended) and exchange is not None:
-                exchange.abort()
+            if exchange is None:
+                return
+            if self.caller_gone:
+                exchange.abort(AbortReason.CALLER_GONE)
+            elif self.ended:
+                exchange.abort(AbortReason.STOPPING)
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -73,6 +73,7 @@
                 if answer.status < FAILED_STATUS:
                     return answer
                 failure, loss = answer, Loss.FAILED
+                pending.resend_reason = loss.value
             except AttemptLost as lost:
                 loss = lost.loss
                 log_attempt_lost(pending, backend, lost)
--- a/packages/relay/src/nutmegdrum_relay/running.py
+++ b/packages/relay/src/nutmegdrum_relay/running.py
@@ -6,7 +6,7 @@
 from nutmegdrum_coord.ids import BackendId, Fingerprint
 
 from nutmegdrum_relay.backends import Backend
-from nutmegdrum_relay.upstream import Exchange
+from nutmegdrum_relay.upstream import AbortReason, Exchange
 
 
 class RunningStreams:
@@ -48,7 +48,7 @@
         with self._lock:
             exchanges = list(self._exchanges.get(backend.id, {}))
         for exchange in exchanges:
-            exchange.abort()
+            exchange.abort(AbortReason.SILENT_SERVER)
         return len(exchanges)
 
 
@@ -77,5 +77,5 @@
         with self._lock:
             exchanges = [e for e, named in self._named.items() if quarantined in named]
         for exchange in exchanges:
-            exchange.abort()
+            exchange.abort(AbortReason.QUARANTINED)
         return len(exchanges)
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -175,7 +175,7 @@
         except ConnectionLost as exc:
             if not attempt.exchange.aborted:
                 self._attempts.on_broken(attempt)
-            raise AttemptLost(Loss.BROKEN, str(exc)) from exc
+            raise AttemptLost(Loss.BROKEN, str(exc), attempt.exchange.aborted) from exc
         if splitter.rest:
             raise AttemptLost(Loss.BROKEN, "the stream ended in the middle of an event")
         return status
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -5,6 +5,7 @@
 import threading
 from collections import defaultdict, deque
 from collections.abc import Iterator
+from enum import Enum
 from http.client import HTTPException
 from typing import NamedTuple
 
@@ -61,6 +62,16 @@
     """The exchange failed after the request was sent, completely or in part."""
 
 
+class AbortReason(Enum):
+    """Reason why this VM ended an exchange."""
+
+    SILENT_SERVER = "silent-server"
+    QUARANTINED = "quarantined"
+    CALLER_GONE = "caller-gone"
+    STOPPING = "stopping"
+    UNUSABLE_ANSWER = "unusable-answer"
+
+
 class AnswerHead(NamedTuple):
     """Status and headers of an answer; the body is read from the exchange."""
 
@@ -77,6 +88,8 @@
         Whether the connection has carried earlier requests, whose answers may come once more.
     refused : str
         Id of the request that was refused on this connection last; empty if none was.
+    aborted : AbortReason or None
+        Why this VM ended the exchange; None if it did not.
     """
 
     def __init__(self, conn: BoundedConnection, reused: bool = False, refused: str = ""):
@@ -85,7 +98,7 @@
         self.refused = refused
         self._sock = conn.sock
         self._resp: HTTPResponse | None = None
-        self.aborted = False
+        self.aborted: AbortReason | None = None
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send the request; the answer may arrive before all of it is sent."""
@@ -156,7 +169,7 @@
         except (HTTPException, HTTPError, OSError, ValueError, AttributeError) as exc:
             raise ConnectionLost(str(exc)) from exc
         if self.aborted:
-            raise ConnectionLost("the exchange was aborted")
+            raise ConnectionLost(f"the exchange was aborted: {self.aborted.value}")
 
     def extend(self, timeout: Duration) -> None:
         """Restart the time-out and the size limit, after an event is complete."""
@@ -167,9 +180,9 @@
         """Return the number of bytes received on this connection."""
         return self._conn.bounds.received
 
-    def abort(self) -> None:
+    def abort(self, reason: AbortReason) -> None:
         """Shut the connection down, which wakes the thread that reads from it."""
-        self.aborted = True
+        self.aborted = self.aborted or reason
         if self._sock is not None:
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
--- a/packages/relay/tests/test_silence.py
+++ b/packages/relay/tests/test_silence.py
@@ -28,7 +28,7 @@
     def __init__(self):
         self.aborted = threading.Event()
 
-    def abort(self):
+    def abort(self, reason):
         self.aborted.set()
 
 
