Bound all resends to a service by one retry budget of all entry VMs

Cause: the budget bounded retries of plain requests only. Recoveries of streams were charged and never refused, streams that a server rejected and requests sent to another owner of an address were not charged at all, requests of plain services earned resends to engines, a passed-on request earned at two entry VMs, and the constant part was 180 in 10 s for nine entry VMs where 150 are allowed.

Now each send but a request's first needs a permission, whatever makes it. A service's resends at one entry VM stay within 0.6 of its requests of the last 10 s; 75 more are granted by the state leader to all entry VMs, which use equal parts while it does not answer. Retries may use half of both, so that recoveries come first. Both gateways use it; generations of the own gateway follow.

test_resends failed before in the three cases of streams (with an allowance for the old budget's burst). TestRetryBudget and TestSharedBudget tested the old class's terms (ratio, rate, burst); their bound, numbers of entry VMs and load are kept in TestBound, which adds a leader, recoveries, and little traffic.

--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -24,7 +24,7 @@
 from nutmegdrum.limited_routing import LimitedRouting
 from nutmegdrum.open_exchanges import OpenExchanges
 from nutmegdrum.passing_on import PassingOn
-from nutmegdrum.permits import Permits
+from nutmegdrum.permits import Permits, ResendRequests
 from nutmegdrum.plain import PlainHandler
 from nutmegdrum.plain_http import HttpPlainSender
 from nutmegdrum.plugins import Event, Kind, Registry
@@ -125,6 +125,8 @@
         self._permits.set_entry_vms(len(cfg.entry_vms))
         self._rejections = ThreadPoolExecutor(1, thread_name_prefix="rejections")
         routing = GuardedRouting(LimitedRouting(self.router, self._permits), self.guard)
+        budget = RetryBudget(clock, rng, ResendRequests(cfg.vm.id, self.state.request_permit))
+        budget.set_entry_vms(len(cfg.entry_vms))
         reach = ServiceReach(clock)
         self.streaming = Streaming(
             cfg,
@@ -141,9 +143,6 @@
         )
         self.generations = self.streaming.generations
         self.journal = self.streaming.journal
-        budget = RetryBudget()
-        budget.set_entry_vms(len(cfg.entry_vms))
-        registry.listen(Event.BACKEND_LOST, lambda **_: budget.on_recovery(clock.elapsed_ms()))
         claims = ClaimAccess(
             cfg.vm.id,
             incarnation,
--- a/packages/kernel/src/nutmegdrum/idempotent_calls.py
+++ b/packages/kernel/src/nutmegdrum/idempotent_calls.py
@@ -2,14 +2,14 @@
 
 import msgspec
 from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import BackendId, Fingerprint
+from nutmegdrum_coord.ids import BackendId, Fingerprint, ServiceName
 from nutmegdrum_coord.verdict import BACKEND_LOST, RETRY_BUDGET_SPENT, Reason, Refusal, Verdict
 
 from nutmegdrum import metrics
 from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.messages import BackendLost
 from nutmegdrum.plain_http import PlainCall, PlainReply, PlainSender
-from nutmegdrum.retries import RetryBudget
+from nutmegdrum.retries import Resend, RetryBudget
 from nutmegdrum.routing_query import Choice, RouteQuery, Routing
 from nutmegdrum.settings import Settings
 
@@ -60,8 +60,10 @@
         deadline_ms = self._clock.elapsed_ms() + self._cfg.claims.call_timeout
         excluded: frozenset[BackendId] = frozenset()
         last: PlainReply | None = None
+        sent = False
         verdict = Verdict.NOT_RUN
-        self._budget.on_first_attempt()
+        service = ServiceName(query.model)
+        self._budget.on_request(service)
         for attempt in range(1, MAX_ATTEMPTS + 1):
             choice = self._routing.choose(msgspec.structs.replace(query, excluded=excluded))
             if isinstance(choice, Reason):
@@ -69,16 +71,18 @@
             excluded |= {choice.backend.id}
             try:
                 last = self._send(choice, call._replace(attempt=attempt), deadline_ms)
+                sent = True
                 self._guard.on_attempt_end(fingerprint, cleared=True)
                 if last.status not in RETRYABLE_STATUSES:
                     return last
             except BackendLost as exc:
                 if exc.sent:
+                    sent = True
                     verdict = Verdict.MAY_HAVE_RUN
                 self._guard.on_loss(fingerprint, exc.backend, exc.kind)
             if self._clock.elapsed_ms() >= deadline_ms:
                 return _reply_or_refuse(last, BACKEND_LOST, verdict)
-            if not self._budget.take(self._clock.elapsed_ms()):
+            if sent and not self._budget.take(service, Resend.RETRY):
                 metrics.RETRIES.labels("budget-spent").inc()
                 return _reply_or_refuse(last, RETRY_BUDGET_SPENT, verdict)
             metrics.RETRIES.labels("made").inc()
--- a/packages/kernel/src/nutmegdrum/permits.py
+++ b/packages/kernel/src/nutmegdrum/permits.py
@@ -13,10 +13,11 @@
 
 import msgspec
 from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import BackendId, VmId
+from nutmegdrum_coord.ids import BackendId, ServiceName, VmId
 from prometheus_client import Counter
 
 from nutmegdrum.rate_limits import NO_LIMITS, AnnouncedLimit, KnownLimits, ServerLimits
+from nutmegdrum.retries import Resend, SharedRetryBudget
 from nutmegdrum.units import Duration
 
 BURST = Duration(1_000)
@@ -67,12 +68,19 @@
         Longest time that the request can wait for its turn, in ms.
     rejected_by : BackendId or None
         Backend server that has just rejected a request for want of room.
+    resend_to : ServiceName
+        Service to which a request is to be sent again, from the shared retry budget; empty if the
+        request is for a backend server with a limit.
+    resend : Resend
+        Reason to send it again.
     """
 
     vm: VmId
     wanted: tuple[WantedServer, ...] = ()
     max_wait_ms: int = 0
     rejected_by: BackendId | None = None
+    resend_to: ServiceName = ServiceName("")
+    resend: Resend = Resend.RETRY
 
 
 class Permit(msgspec.Struct, frozen=True, kw_only=True):
@@ -84,10 +92,13 @@
         Backend server to send to; None if the permit is denied.
     wait_ms : int
         Time until the request may be sent, or until a denied VM should ask again, in ms.
+    may_resend : bool or None
+        Answer to `resend_to`; None from a leader of an earlier version, which knows no budget.
     """
 
     backend: BackendId | None
     wait_ms: int
+    may_resend: bool | None = None
 
 
 class Pace(NamedTuple):
@@ -243,10 +254,14 @@
         self._rng = rng
         self._lock = threading.Lock()
         self._turns = _Turns(clock, limits)
+        self._retries = SharedRetryBudget(clock)
         self._denied_ms: dict[VmId, int] = {}
 
     def request(self, request: PermitRequest) -> Permit:
         """Grant or deny a request, after recording what it says about backend servers."""
+        if request.resend_to:
+            may_resend = self._retries.grant(request.resend_to, request.resend)
+            return Permit(backend=None, wait_ms=0, may_resend=may_resend)
         self.limits.merge({wanted.backend: wanted.limit for wanted in request.wanted})
         with self._lock:
             if request.rejected_by is not None:
@@ -278,6 +293,25 @@
         return wait_ms + min(int(spread_ms), DENIED_VALID)
 
 
+class ResendRequests:
+    """Requests of one entry VM for resends from the shared retry budget.
+
+    Parameters
+    ----------
+    ask : callable
+        Asks the leader; returns None if it does not answer.
+    """
+
+    def __init__(self, vm: VmId, ask: Callable[[PermitRequest], Permit | None]):
+        self._vm = vm
+        self._ask = ask
+
+    def __call__(self, service: ServiceName, kind: Resend) -> bool | None:
+        """Return whether the leader grants a resend; None if it does not answer."""
+        permit = self._ask(PermitRequest(vm=self._vm, resend_to=service, resend=kind))
+        return None if permit is None else permit.may_resend
+
+
 class Permits:
     """Permits of one entry VM; thread-safe.
 
--- a/packages/kernel/src/nutmegdrum/plain.py
+++ b/packages/kernel/src/nutmegdrum/plain.py
@@ -1,5 +1,6 @@
 """Requests to plain services, which are retried only if they are idempotent."""
 
+import random
 from collections.abc import Mapping
 
 from nutmegdrum_coord.claims import ClaimKey
@@ -47,7 +48,7 @@
         sender: PlainSender | None = None,
     ):
         sender = sender or HttpPlainSender(clock)
-        budget = budget or RetryBudget()
+        budget = budget or RetryBudget(clock, random.Random())
         self._routes = cfg.routes
         self._guard = guard
         self._claimed = ClaimedCalls(cfg, clock, routing, guard, state, sender)
--- a/packages/kernel/src/nutmegdrum/retries.py
+++ b/packages/kernel/src/nutmegdrum/retries.py
@@ -1,83 +1,211 @@
-"""Retry budget shared by all layers of an entry VM."""
+"""Retry budget: how often requests to a service may be sent again, by all entry VMs together.
 
+Retries, recoveries of streams, hand-overs to other entry VMs and resends after a rejection all
+multiply the load while backend servers fail, so that one budget for each service covers them all.
+Each entry VM may resend a share of the requests that it sends; a further number, for entry VMs that
+have few requests when a backend server is lost, is granted by the state leader to all of them.
+"""
+
+import random
 import threading
+from collections import defaultdict
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple
+
+from nutmegdrum_coord.clock import Clock
+from nutmegdrum_coord.ids import ServiceName
+from prometheus_client import Counter
 
-DEFAULT_RATIO = 0.1
-"""Retries earned by each first attempt."""
+from nutmegdrum.logs import log_change
+from nutmegdrum.units import Duration
 
-DEFAULT_MIN_PER_S = 10
-"""Retries earned per second without any traffic."""
+WINDOW = Duration(10_000)
+"""Time in which resends and requests are counted."""
 
-DEFAULT_BURST = 50
-"""Maximum number of retries that can be accumulated."""
+LEADER_RETRY = Duration(300)
+"""Time after an unanswered request in which the leader is not asked again."""
 
-WHOLE_UP_TO = 9
-"""Number of entry VMs that each have the whole rate and burst; more of them share as much."""
+RETRY_SHARE = 0.5
+"""Share of the budget that retries may use; the rest is left to recoveries."""
 
+_BUCKETS = 20
 _MS_PER_S = 1_000
 
+RESENDS = Counter(
+    "nutmegdrum_resends", "Requests to send again by kind and outcome", ["kind", "outcome"]
+)
 
-class RetryBudget:
-    """Thread-safe retry budget that limits retries to a share of first attempts.
 
-    If each layer retried on its own, their retries would multiply the load while backend servers
-    fail. With one budget, all layers together add at most the ratio, plus a small constant rate.
-    Recoveries of broken streams take precedence: while they exhaust the budget, nothing else is
-    retried.
+class Resend(Enum):
+    """Reason to send a request again."""
 
-    Parameters
+    RETRY = "retry"
+    RECOVERY = "recovery"
+
+    @property
+    def share(self) -> float:
+        """Return the share of the budget that resends of this kind may use."""
+        return 1.0 if self is Resend.RECOVERY else RETRY_SHARE
+
+
+class RetryLimits(NamedTuple):
+    """Limits on the resends to one service in `WINDOW`.
+
+    Attributes
     ----------
     ratio : float
-        Retries earned by each first attempt.
-    min_per_s : int
-        Retries earned per second without any first attempt.
-    burst : int
-        Maximum number of retries that can be accumulated.
+        Resends for each request, at the entry VM that sends it.
+    shared : int
+        Further resends of all entry VMs together.
+    """
+
+    ratio: float = 0.6
+    shared: int = 75
+
+
+class WindowCount:
+    """Number of events within the last `WINDOW`; not thread-safe."""
+
+    def __init__(self) -> None:
+        self._counts: dict[int, int] = {}
+
+    def add(self, now_ms: int) -> None:
+        """Count an event."""
+        bucket = self._bucket(now_ms)
+        self._counts[bucket] = self._counts.get(bucket, 0) + 1
+
+    def add_up_to(self, limit: float, now_ms: int) -> bool:
+        """Count an event, and return True, unless there would be more than `limit`."""
+        if self.total(now_ms) + 1 > limit:
+            return False
+        self.add(now_ms)
+        return True
+
+    def total(self, now_ms: int) -> int:
+        """Return the number of events."""
+        oldest = self._bucket(now_ms) - _BUCKETS
+        if any(bucket < oldest for bucket in self._counts):
+            self._counts = {b: count for b, count in self._counts.items() if b >= oldest}
+        return sum(self._counts.values())
+
+    @staticmethod
+    def _bucket(now_ms: int) -> int:
+        return now_ms * _BUCKETS // int(WINDOW)
+
+
+class SharedRetryBudget:
+    """Resends that the state leader grants to entry VMs; thread-safe."""
+
+    def __init__(self, clock: Clock, limits: RetryLimits = RetryLimits()):
+        self._clock = clock
+        self._limits = limits
+        self._lock = threading.Lock()
+        self._granted: defaultdict[ServiceName, WindowCount] = defaultdict(WindowCount)
+
+    def grant(self, service: ServiceName, kind: Resend) -> bool:
+        """Return whether a request may be sent again; if so, count it."""
+        limit = kind.share * self._limits.shared
+        with self._lock:
+            return self._granted[service].add_up_to(limit, self._clock.elapsed_ms())
+
+
+class _OwnPart:
+    """An entry VM's equal part of the shared budget, for while no leader answers.
+
+    A part of less than one resend in `WINDOW` is used at turns, from a random first one, as all
+    entry VMs lose the leader at once.
+    """
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._resends = WindowCount()
+        self._next_ms: int | None = None
+
+    def take(self, now_ms: int, per_window: float) -> bool:
+        if per_window >= 1:
+            return self._resends.add_up_to(per_window, now_ms)
+        if per_window <= 0:
+            return False
+        interval_ms = int(WINDOW / per_window)
+        if self._next_ms is None:
+            self._next_ms = now_ms + int(self._rng.random() * interval_ms)
+        if now_ms < self._next_ms:
+            return False
+        self._next_ms = now_ms + interval_ms
+        return True
+
+
+class _ServiceBudget:
+    def __init__(self, rng: random.Random) -> None:
+        self.requests = WindowCount()
+        self.resends = WindowCount()
+        self.own_part = _OwnPart(rng)
+
+
+class RetryBudget:
+    """Retry budget of one entry VM; thread-safe.
+
+    Parameters
+    ----------
+    ask_leader : callable
+        Asks the state leader for a resend from the shared budget; returns None if it does not
+        answer.
     """
 
     def __init__(
         self,
-        ratio: float = DEFAULT_RATIO,
-        min_per_s: int = DEFAULT_MIN_PER_S,
-        burst: int = DEFAULT_BURST,
+        clock: Clock,
+        rng: random.Random,
+        ask_leader: Callable[[ServiceName, Resend], bool | None] = lambda service, kind: None,
+        limits: RetryLimits = RetryLimits(),
     ):
-        self._ratio = ratio
-        self._whole_min_per_s = self._min_per_s = float(min_per_s)
-        self._whole_burst = self._burst = float(burst)
-        self._credit = float(burst)
-        self._filled_ms: int | None = None
+        self._clock = clock
+        self._rng = rng
+        self._ask_leader = ask_leader
+        self._limits = limits
         self._lock = threading.Lock()
+        self._entry_vms = 1
+        self._leader_silent_until_ms = 0
+        self._services: dict[ServiceName, _ServiceBudget] = {}
 
     def set_entry_vms(self, count: int) -> None:
-        """Set the number of entry VMs; at least one retry can always be accumulated."""
-        share = min(1.0, WHOLE_UP_TO / max(1, count))
-        with self._lock:
-            self._min_per_s = self._whole_min_per_s * share
-            self._burst = max(1.0, self._whole_burst * share)
-            self._credit = min(self._credit, self._burst)
+        """Set the number of entry VMs, which share the further resends while no leader answers."""
+        self._entry_vms = max(1, count)
 
-    def on_first_attempt(self) -> None:
-        """Add the credit that a request's first attempt earns."""
+    def on_request(self, service: ServiceName) -> None:
+        """Count a caller's request, at the entry VM that got it from the caller."""
         with self._lock:
-            self._credit = min(self._burst, self._credit + self._ratio)
+            self._service(service).requests.add(self._clock.elapsed_ms())
 
-    def on_recovery(self, now_ms: int) -> None:
-        """Charge a stream's recovery, which has limits of its own and is never refused here."""
-        with self._lock:
-            self._fill(now_ms)
-            self._credit = max(-self._burst, self._credit - 1)
+    def take(self, service: ServiceName, kind: Resend) -> bool:
+        """Return whether a request may be sent again; if so, count it.
+
+        May wait for the state leader's answer.
+        """
+        granted = self._take_local(service, kind) or self._take_shared(service, kind)
+        RESENDS.labels(kind.value, "granted" if granted else "refused").inc()
+        if not granted:
+            log_change("resend_refused", service=service, resend=kind.value)
+        return granted
 
-    def take(self, now_ms: int) -> bool:
-        """Return whether a retry is allowed now; if so, charge it."""
+    def _take_local(self, service: ServiceName, kind: Resend) -> bool:
+        now_ms = self._clock.elapsed_ms()
         with self._lock:
-            self._fill(now_ms)
-            if self._credit < 1:
-                return False
-            self._credit -= 1
-            return True
-
-    def _fill(self, now_ms: int) -> None:
-        if self._filled_ms is not None:
-            earned = (now_ms - self._filled_ms) * self._min_per_s / _MS_PER_S
-            self._credit = min(self._burst, self._credit + earned)
-        self._filled_ms = now_ms
+            counts = self._service(service)
+            allowed = kind.share * self._limits.ratio * counts.requests.total(now_ms)
+            return counts.resends.add_up_to(allowed, now_ms)
+
+    def _take_shared(self, service: ServiceName, kind: Resend) -> bool:
+        if self._clock.elapsed_ms() >= self._leader_silent_until_ms:
+            granted = self._ask_leader(service, kind)
+            if granted is not None:
+                return granted
+            self._leader_silent_until_ms = self._clock.elapsed_ms() + int(LEADER_RETRY)
+        now_ms = self._clock.elapsed_ms()
+        per_window = kind.share * self._limits.shared / self._entry_vms
+        with self._lock:
+            return self._service(service).own_part.take(now_ms, per_window)
+
+    def _service(self, service: ServiceName) -> _ServiceBudget:
+        return self._services.setdefault(service, _ServiceBudget(self._rng))
--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -15,6 +15,7 @@
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import AnswerTerms, AttemptTerms, Dialect, Headers
 from nutmegdrum_relay.documents import RouteKind
+from nutmegdrum_relay.entry_peers import other_vm_sent
 from nutmegdrum_relay.fleet_work import SharedWork
 from nutmegdrum_relay.links import Links
 from nutmegdrum_relay.pending_request import PendingRequest
@@ -70,7 +71,7 @@
     pending: PendingRequest, backend: Backend, lost: AttemptLost, **more: object
 ) -> None:
     """Log an attempt that ended without an answer to forward, and record why it is repeated."""
-    if pending.sends:
+    if lost.loss is not Loss.NOT_SENT:
         pending.resend_reason = lost.reason
     log_decision(
         "attempt_lost",
@@ -275,6 +276,7 @@
         if pending.sends:
             RESENT.labels(pending.service.name, pending.resend_reason).inc()
         pending.sends += 1
+        pending.may_send_again = False
 
     def _target(self, backend: Backend) -> Target:
         return self._entry_vms if backend.is_entry_vm else self._servers
@@ -323,6 +325,8 @@
         self._backends.on_data(backend)
         loss = self._target(backend).refusal_loss(answer.headers)
         if loss is not None:
+            if loss is Loss.NOT_SENT and not other_vm_sent(answer.headers):
+                pending.sends -= 1
             self._discard_body(exchange)
             raise AttemptLost(loss, f"the entry VM refused it with status {answer.status}")
         terms = self._dialect.answer_terms(answer.status, dict(answer.headers))
--- a/packages/relay/src/nutmegdrum_relay/entry_peers.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_peers.py
@@ -19,7 +19,7 @@
 
 from nutmegdrum_relay.backends import Backend, Health
 from nutmegdrum_relay.dialect import Headers, ListedBackend
-from nutmegdrum_relay.headers import ATTEMPTS_HEADER, DOCUMENT_HEADER, REFUSED_HEADER
+from nutmegdrum_relay.headers import ATTEMPTS_HEADER, DOCUMENT_HEADER, REFUSED_HEADER, SENT_HEADER
 from nutmegdrum_relay.links import Links
 from nutmegdrum_relay.retry_policy import Loss
 
@@ -101,9 +101,21 @@
     return Loss.NOT_SENT if verdict == Verdict.NOT_RUN.value else Loss.SILENT
 
 
-def refusal_headers(refusal: Refusal) -> Headers:
-    """Return the headers that mark the refusal of a request that was passed on."""
-    return [(REFUSED_HEADER, refusal.verdict.value)]
+def other_vm_sent(headers: Headers) -> bool:
+    """Return whether a VM that refused a request had sent it to a backend server before."""
+    return any(name.lower() == SENT_HEADER for name, _ in headers)
+
+
+def refusal_headers(refusal: Refusal, sent: bool) -> Headers:
+    """Return the headers that mark the refusal of a request that was passed on.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether it had been sent to a backend server, which may have rejected it.
+    """
+    marks = [(REFUSED_HEADER, refusal.verdict.value)]
+    return [*marks, (SENT_HEADER, "1")] if sent else marks
 
 
 class PassedOnTerms(NamedTuple):
--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection
 
 import msgspec
-from nutmegdrum.permits import Permits
+from nutmegdrum.permits import Permits, ResendRequests
 from nutmegdrum.retries import RetryBudget
 from nutmegdrum.rpc import RpcClient
 from nutmegdrum.units import Address, Duration
@@ -36,16 +36,6 @@
 from nutmegdrum_relay.version_gate import VersionGate
 from nutmegdrum_relay.views import ControlView
 
-RETRY_RATIO = 0.3
-"""Retries that the budget gains with each first attempt; docs/design/platform.md, retry budget."""
-
-RETRIES_PER_S = 1
-"""Retries that the budget gains in each second, even without requests; docs/design/platform.md,
-retry budget."""
-
-RETRY_BURST = 10
-"""Maximum of the retry budget; docs/design/platform.md, retry budget."""
-
 ABORT_FRACTION = 0.9
 """Fraction of the time until the process is killed at which running streams are aborted;
 docs/design/platform.md, shutdown."""
@@ -104,7 +94,7 @@
         permits = self._permits = Permits(
             vm, clock, rng, self._backends.limits, self._control.request_permit, _pause
         )
-        self._budget = RetryBudget(RETRY_RATIO, RETRIES_PER_S, RETRY_BURST)
+        self._budget = RetryBudget(clock, rng, ResendRequests(vm, self._control.request_permit))
         reporter = Reporter(
             vm,
             incarnation,
--- a/packages/relay/src/nutmegdrum_relay/headers.py
+++ b/packages/relay/src/nutmegdrum_relay/headers.py
@@ -37,7 +37,10 @@
 REFUSED_HEADER = "nutmegdrum-refused"
 """Header of another entry VM's own refusal: its verdict. It is not passed through from servers."""
 
-INTERNAL_HEADERS = frozenset({ATTEMPTS_HEADER, DOCUMENT_HEADER, REFUSED_HEADER})
+SENT_HEADER = "nutmegdrum-sent"
+"""Header of such a refusal if the request had been sent to a backend server."""
+
+INTERNAL_HEADERS = frozenset({ATTEMPTS_HEADER, DOCUMENT_HEADER, REFUSED_HEADER, SENT_HEADER})
 """Headers that only entry VMs send to each other."""
 
 _MS_PER_S = 1_000
--- a/packages/relay/src/nutmegdrum_relay/pending_request.py
+++ b/packages/relay/src/nutmegdrum_relay/pending_request.py
@@ -36,7 +36,9 @@
     sends : int
         Times that it has been sent to a backend server or another entry VM.
     resend_reason : str
-        Why it is sent again; the loss of the last attempt.
+        Why it is sent again; the loss of the last attempt that sent it.
+    may_send_again : bool
+        Whether the retry budget allows the next send.
     caller_gone : bool
         Whether the caller has closed its connection.
     ended : bool
@@ -61,6 +63,7 @@
     sent: int = 0
     sends: int = 0
     resend_reason: str = ""
+    may_send_again: bool = False
     caller_gone: bool = False
     ended: bool = False
     _exchange: Exchange | None = None
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from nutmegdrum.retries import RetryBudget
+from nutmegdrum.retries import Resend
 from nutmegdrum.units import Duration
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import Clock
@@ -13,6 +13,7 @@
 from nutmegdrum_relay.dialect import Headers
 from nutmegdrum_relay.headers import answer_headers
 from nutmegdrum_relay.pending_request import PendingRequest
+from nutmegdrum_relay.resends import Resends
 from nutmegdrum_relay.retry_policy import FailedAttempts, Loss, attempt_timeout, may_retry
 from nutmegdrum_relay.selection import Selection
 
@@ -30,15 +31,15 @@
 
     Parameters
     ----------
-    budget : RetryBudget
-        Retry budget of this entry VM.
+    resends : Resends
+        Allows or refuses to send a request again.
     """
 
-    def __init__(self, selection: Selection, attempts: Attempts, clock: Clock, budget: RetryBudget):
+    def __init__(self, selection: Selection, attempts: Attempts, clock: Clock, resends: Resends):
         self._selection = selection
         self._attempts = attempts
         self._clock = clock
-        self._budget = budget
+        self._resends = resends
 
     def answer(self, call: Call, pending: PendingRequest) -> int:
         """Answer a call and return the status.
@@ -55,7 +56,7 @@
         return answer.status
 
     def _fetch(self, pending: PendingRequest) -> CompleteAnswer:
-        self._budget.on_first_attempt()
+        self._resends.on_request(pending)
         tried: list[BackendId] = []
         failed_attempts = FailedAttempts()
         failure: CompleteAnswer | None = None
@@ -84,12 +85,9 @@
             progress = failed_attempts.progress(pending.time_to_deadline(self._clock))
             retry = may_retry(pending.route, loss, progress)
             retry = retry and self._attempts.may_resend(pending)
-            if not retry or not self._within_budget(loss):
+            if not retry or not self._resends.allows(pending, Resend.RETRY):
                 return failure or self._give_up(pending, failed_attempts, progress.left)
 
-    def _within_budget(self, loss: Loss) -> bool:
-        return not loss.reached_backend or self._budget.take(self._clock.elapsed_ms())
-
     def _attempt(self, pending: PendingRequest, backend, timeout: Duration) -> CompleteAnswer:
         attempt = self._attempts.begin(pending, backend, timeout)
         keep = failed = False
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -28,6 +28,7 @@
 from nutmegdrum_relay.placement import Demand
 from nutmegdrum_relay.plain_relay import PlainRelay
 from nutmegdrum_relay.refusals import refusal_answer
+from nutmegdrum_relay.resends import Resends
 from nutmegdrum_relay.routing_table import RoutingTable, choose_service
 from nutmegdrum_relay.selection import Selection
 from nutmegdrum_relay.stream_relay import StreamRelay
@@ -93,8 +94,9 @@
         self._table = table
         self._watch = watch
         self._crash_watch = crash_watch
-        self._plain = PlainRelay(selection, attempts, clock, budget)
-        self._streams = StreamRelay(selection, attempts, clock, budget)
+        resends = Resends(budget)
+        self._plain = PlainRelay(selection, attempts, clock, resends)
+        self._streams = StreamRelay(selection, attempts, clock, resends)
         self._durations = CallDurations()
         self._lock = threading.Lock()
         self._running: set[PendingRequest] = set()
@@ -116,6 +118,7 @@
             If the caller disconnected, or the answer had to be aborted.
         """
         kind, status = "none", 0
+        pending: PendingRequest | None = None
         terms = self._dialect.request_terms(call.headers)
         try:
             body = call.read_body()
@@ -128,7 +131,10 @@
                 status = self._answer(call, pending)
             self._durations.record(pending.route.name, self._elapsed(call))
         except v.Refusal as refusal:
-            status = self._refuse(call, terms, refusal, passed_on)
+            marks: Headers = []
+            if passed_on:
+                marks = refusal_headers(refusal, sent=pending is not None and pending.sends > 0)
+            status = self._refuse(call, terms, refusal, marks)
         except CallerDisconnected:
             log_decision("caller_gone", request=terms.request_id, kind=kind)
             raise
@@ -247,7 +253,7 @@
             if self._dialect.is_forwarded(name) and name.lower() not in INTERNAL_HEADERS
         ]
 
-    def _refuse(self, call: Call, terms: RequestTerms, refusal: v.Refusal, passed_on: bool) -> int:
+    def _refuse(self, call: Call, terms: RequestTerms, refusal: v.Refusal, marks: Headers) -> int:
         log_decision(
             "request_refused",
             request=terms.request_id,
@@ -261,9 +267,7 @@
         if call.started:
             raise CallerDisconnected from refusal
         status, headers, body = refusal_answer(refusal)
-        if passed_on:
-            headers += refusal_headers(refusal)
-        call.answer(status, headers, body)
+        call.answer(status, headers + marks, body)
         return status
 
 
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from nutmegdrum.retries import RetryBudget
+from nutmegdrum.retries import Resend
 from nutmegdrum.units import Duration, parse_count
 from nutmegdrum_coord import verdict as v
 from nutmegdrum_coord.clock import Clock
@@ -27,6 +27,7 @@
 from nutmegdrum_relay.dialect import Headers
 from nutmegdrum_relay.headers import answer_headers
 from nutmegdrum_relay.pending_request import PendingRequest
+from nutmegdrum_relay.resends import Resends
 from nutmegdrum_relay.retry_policy import FailedAttempts, Loss, may_retry
 from nutmegdrum_relay.selection import Selection
 from nutmegdrum_relay.sse import Event, EventSplitter
@@ -65,15 +66,15 @@
 
     Parameters
     ----------
-    budget : RetryBudget
-        Retry budget of this entry VM; recoveries are charged to it but never refused.
+    resends : Resends
+        Allows or refuses to send a request again.
     """
 
-    def __init__(self, selection: Selection, attempts: Attempts, clock: Clock, budget: RetryBudget):
+    def __init__(self, selection: Selection, attempts: Attempts, clock: Clock, resends: Resends):
         self._selection = selection
         self._attempts = attempts
         self._clock = clock
-        self._budget = budget
+        self._resends = resends
 
     def answer(self, call: Call, pending: PendingRequest) -> int:
         """Answer a call and return the status.
@@ -85,7 +86,7 @@
         CallerDisconnected
             If the caller disconnected, or the stream had to be aborted.
         """
-        self._budget.on_first_attempt()
+        self._resends.on_request(pending)
         state = _StreamState(pending.terms.last_event_id)
         while True:
             left = pending.time_to_deadline(self._clock)
@@ -236,13 +237,17 @@
             if state.resumed_from_copy and lost.loss is Loss.NOT_RUN:
                 # The engine has no copy, but may accept the request without one.
                 state.tried.remove(backend.id)
-            return
-        self._budget.on_recovery(self._clock.elapsed_ms())
 
     def _may_continue(self, pending: PendingRequest, state: _StreamState) -> bool:
         progress = state.failed_attempts.progress(pending.time_to_deadline(self._clock))
         retry = may_retry(pending.route, state.last_loss, progress)
-        return retry and self._attempts.may_resend(pending)
+        retry = retry and self._attempts.may_resend(pending)
+        return retry and self._resends.allows(pending, self._resend_kind(state))
+
+    def _resend_kind(self, state: _StreamState) -> Resend:
+        """Return a recovery for a stream that has begun, which is lost if it is not sent again."""
+        begun = state.head_sent or state.failed_attempts.verdict is not v.Verdict.NOT_RUN
+        return Resend.RECOVERY if begun else Resend.RETRY
 
     def _give_up(
         self, call: Call, pending: PendingRequest, state: _StreamState, left: Duration
--- a/packages/testing/src/nutmegdrum_testing/limited_fleet.py
+++ b/packages/testing/src/nutmegdrum_testing/limited_fleet.py
@@ -23,6 +23,7 @@
 from nutmegdrum_relay.pending_request import PendingRequest
 from nutmegdrum_relay.placement import Demand
 from nutmegdrum_relay.plain_relay import PlainRelay
+from nutmegdrum_relay.resends import Resends
 from nutmegdrum_relay.running import RunningStreams
 from nutmegdrum_relay.selection import Selection
 from nutmegdrum_relay.upstream import AnswerHead
@@ -236,7 +237,7 @@
             self.permits,
             links,
         )
-        self._relay = PlainRelay(selection, attempts, clock, RetryBudget())
+        self._relay = PlainRelay(selection, attempts, clock, Resends(RetryBudget(clock, rng)))
 
     def list(self, servers: Sequence[ModelServer]) -> None:
         """Replace the list of backend servers."""
--- a/packages/testing/src/nutmegdrum_testing/relay_world.py
+++ b/packages/testing/src/nutmegdrum_testing/relay_world.py
@@ -8,7 +8,7 @@
 
 from nutmegdrum.peer_directory import PeerAddress
 from nutmegdrum.permits import Permits
-from nutmegdrum.retries import RetryBudget
+from nutmegdrum.retries import RetryBudget, RetryLimits
 from nutmegdrum.units import Address, Duration
 from nutmegdrum_coord.clock import Clock, SystemClock
 from nutmegdrum_coord.ids import BackendId, DataCentre, ServiceName, VersionName, VmId
@@ -112,9 +112,24 @@
 
 
 class RelayWorld:
-    """Relay with its listener; callers connect to `address`."""
+    """Relay with its listener; callers connect to `address`.
 
-    def __init__(self, doc: RoutingDocument, *, monitor: bool = False, threads: int = 8):
+    Parameters
+    ----------
+    monitor : bool
+        Whether silent engines are looked for.
+    retries : RetryLimits
+        Limits of the retry budget, of which there is no leader to ask.
+    """
+
+    def __init__(
+        self,
+        doc: RoutingDocument,
+        *,
+        monitor: bool = False,
+        threads: int = 8,
+        retries: RetryLimits = RetryLimits(),
+    ):
         self.clock = SystemClock()
         rng = random.Random(7)
         dialect = PlainDialect()
@@ -159,7 +174,7 @@
         self.table: RoutingTable | None = RoutingTable(doc)
         self.awaited = threading.Event()
         self.arrives = threading.Event()
-        budget = RetryBudget()
+        self.budget = RetryBudget(self.clock, rng, limits=retries)
         self.relay = Relay(
             self.clock,
             rng,
@@ -168,7 +183,7 @@
             selection,
             attempts,
             watch,
-            budget,
+            self.budget,
             self.crash_watch,
         )
         self.address = _free_address()
