Keep streams at silent engines while moving them gains nothing

Cause: an engine without a byte for 250 ms whose report did not come within 150 ms was given up with all its streams, wherever they could go. When all engines are silent for a second, each stream met four more that took no connection, read its prompt again at the fifth, and was broken off, its time not over, once its attempts were used up. The class: a short silence is taken for death, by one VM, without asking what the move gains.

Now a stream leaves an engine early only for its copy, if that engine answers a probe and the silent one takes no connection; after 2 s of silence if any other engine answers; and otherwise stays, until its deadline. One attempt is left for an engine that breaks off. Plain requests without budget for a retry stay with their silent server likewise. A pause for silence ends as soon as the engine sends something.

Left there: plain requests whose deadline ends in the silence.

The other engine of test_silent_engine_without_a_report_is_abandoned answers reports, as sound ones do; its bound of 3 s is unchanged.

--- a/packages/kernel/src/nutmegdrum/bounded_http.py
+++ b/packages/kernel/src/nutmegdrum/bounded_http.py
@@ -6,11 +6,13 @@
 import functools
 import io
 import socket
+from collections.abc import Callable
 from http.client import HTTPResponse as PlainResponse
 from http.client import IncompleteRead
 
 from nutmegdrum_coord.clock import Clock
 from urllib3.connection import HTTPConnection
+from urllib3.util.wait import wait_for_read
 
 from nutmegdrum.units import Duration
 
@@ -21,12 +23,28 @@
 _MS_PER_S = 1_000
 
 
+Extend = Callable[[], Duration]
+"""Returns how much longer to wait for a part that is not complete in time; 0 to give up."""
+
+
+def give_up() -> Duration:
+    """Return 0."""
+    return Duration(0)
+
+
 class Bounds:
-    """Remaining bytes and time for the next part of a response."""
+    """Remaining bytes and time for the next part of a response.
+
+    Attributes
+    ----------
+    extend : callable
+        Called when the time is over.
+    """
 
     def __init__(self, clock: Clock):
         self._clock = clock
         self._until_ms = 0
+        self.extend: Extend = give_up
         self.bytes_left = 0
         self.received = 0
 
@@ -36,8 +54,12 @@
         self.bytes_left = size
 
     def time_left(self) -> Duration:
-        """Return the time until the part must be complete; negative after the deadline."""
-        return Duration(self._until_ms - self._clock.elapsed_ms())
+        """Return the time until the part must be complete, extended if it is over; 0 for none."""
+        left = self._until_ms - self._clock.elapsed_ms()
+        if left <= 0:
+            left = int(self.extend())
+            self._until_ms = self._clock.elapsed_ms() + left
+        return Duration(max(0, left))
 
     def consume(self, size: int) -> None:
         """Count received bytes."""
@@ -57,12 +79,15 @@
         return True
 
     def readinto(self, buffer) -> int | None:
-        left = self._bounds.time_left()
-        if left <= 0:
-            raise TimeoutError("response is not complete within its time-out")
-        if self._bounds.bytes_left <= 0:
-            raise OSError("response exceeds its size limit")
-        self._sock.settimeout(left / _MS_PER_S)
+        while True:
+            left = self._bounds.time_left()
+            if left <= 0:
+                raise TimeoutError("response is not complete within its time-out")
+            if self._bounds.bytes_left <= 0:
+                raise OSError("response exceeds its size limit")
+            # A file of a socket cannot be read again after a time-out of its own.
+            if wait_for_read(self._sock, left / _MS_PER_S):
+                break
         size = self._file.readinto(memoryview(buffer)[: self._bounds.bytes_left])
         self._bounds.consume(size or 0)
         return size
--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass
 
+from nutmegdrum.bounded_http import Extend, give_up
 from nutmegdrum.permits import Permits
 from nutmegdrum.units import Duration
 from nutmegdrum_coord.clock import Clock
@@ -20,7 +21,7 @@
 from nutmegdrum_relay.links import Links
 from nutmegdrum_relay.pending_request import PendingRequest
 from nutmegdrum_relay.retry_policy import Loss
-from nutmegdrum_relay.running import RunningStreams
+from nutmegdrum_relay.running import MovableStream, RunningStream, RunningStreams
 from nutmegdrum_relay.targets import EntryVmTarget, ServerTarget, Target
 from nutmegdrum_relay.upstream import (
     AbortReason,
@@ -179,10 +180,12 @@
         pending: PendingRequest,
         backend: Backend,
         timeout: Duration,
+        extend: Extend = give_up,
         last_event_id: str = "",
         copy_to: Backend | None = None,
         copy_at: Backend | None = None,
         time_left: Duration | None = None,
+        stream: MovableStream | None = None,
     ) -> Attempt:
         """Send the request and wait for the response headers.
 
@@ -194,8 +197,12 @@
             Longest wait for the response headers.
         time_left : Duration or None
             Time limit passed to the backend server; `timeout` if None.
+        extend : callable
+            Returns how much longer to wait after the time-out; 0 to give up.
         copy_to, copy_at : Backend or None
             Engine that is to get a copy of the run's KV cache, and engine that holds one.
+        stream : MovableStream or None
+            Stream that may leave the engine if it falls silent.
 
         Raises
         ------
@@ -219,8 +226,9 @@
             self._backends.remove(backend, work)
             self._report_changed(work)
             raise
-        if pending.route.kind is RouteKind.STREAM and not backend.is_entry_vm:
-            self._running.add(backend, exchange, self._clock.elapsed_ms())
+        if stream is not None and not backend.is_entry_vm:
+            now_ms = self._clock.elapsed_ms()
+            self._running.add(RunningStream(exchange, backend, now_ms, stream))
         pending.set_exchange(exchange)
         self._crash_watch.beginning.add(exchange, (pending.fingerprint, *pending.parts))
         try:
@@ -251,7 +259,7 @@
                 copy_to=copy_to.id if copy_to else None,
                 copy_at=copy_at.id if copy_at else None,
             )
-            attempt = self._exchange(pending, backend, exchange, headers, timeout)
+            attempt = self._exchange(pending, backend, exchange, headers, timeout, extend)
         except AttemptLost as lost:
             self._end_wait(wait, answered=False)
             self._tally_loss(pending, tally_key, lost)
@@ -311,10 +319,11 @@
         exchange: Exchange,
         headers: Headers,
         timeout: Duration,
+        extend: Extend,
     ) -> Attempt:
         try:
             exchange.send(pending.method, pending.target, pending.headers + headers, pending.body)
-            answer = exchange.receive(timeout)
+            answer = exchange.receive(timeout, extend)
         except TimeoutError as exc:
             self._backends.on_answer(backend, failed=True)
             self._target(backend).on_silence(backend)
--- a/packages/relay/src/nutmegdrum_relay/backends.py
+++ b/packages/relay/src/nutmegdrum_relay/backends.py
@@ -64,6 +64,8 @@
         Elapsed time in ms until which it has asked this VM to send no requests.
     reported_down_until_ms : int
         Elapsed time in ms until which another entry VM's report that it is down counts.
+    paused_as_silent : bool
+        Whether its pause ends as soon as it sends something.
     is_entry_vm : bool
         Whether it is another entry VM, to which requests are passed on.
     """
@@ -83,6 +85,7 @@
         self.load_ms = 0
         self.paused_until_ms = 0
         self.pause_ms = 0
+        self.paused_as_silent = False
         self.last_data_ms = 0
         self.gone = False
         self.announced_leaving = False
@@ -284,8 +287,12 @@
             backend.work = backend.work + more - less
 
     def on_data(self, backend: Backend) -> None:
-        """Record that data arrived from `backend`."""
+        """Record that data arrived from `backend`, which ends a pause for silence."""
         backend.last_data_ms = self._clock.elapsed_ms()
+        if backend.paused_as_silent:
+            with self._lock:
+                backend.paused_as_silent = False
+                backend.paused_until_ms = 0
 
     def on_load(self, backend: Backend, load: Load | None) -> None:
         """Record the load that an answer reported."""
@@ -301,8 +308,14 @@
             if not failed:
                 backend.pause_ms = 0
 
-    def on_down(self, backend: Backend, reason: str) -> None:
-        """Pause `backend` because it refused a connection, broke off an exchange or is silent."""
+    def on_down(self, backend: Backend, reason: str, silent: bool = False) -> None:
+        """Pause `backend` because it refused a connection, broke off an exchange or is silent.
+
+        Parameters
+        ----------
+        silent : bool
+            Whether the pause ends as soon as it sends something.
+        """
         now_ms = self._clock.elapsed_ms()
         with self._lock:
             self._update_failure_rate(backend, failed=True)
@@ -310,6 +323,7 @@
                 return
             backend.pause_ms = min(MAX_PAUSE, backend.pause_ms * 2 or FIRST_PAUSE)
             backend.paused_until_ms = now_ms + backend.pause_ms
+            backend.paused_as_silent = silent
         log_decision("backend_paused", backend=backend.id, reason=reason, pause_ms=backend.pause_ms)
 
     def _update_failure_rate(self, backend: Backend, failed: bool) -> None:
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -9,6 +9,7 @@
 from nutmegdrum_coord.ids import BackendId
 
 from nutmegdrum_relay.attempts import FAILED_STATUS, AttemptLost, Attempts, log_attempt_lost
+from nutmegdrum_relay.backends import Backend
 from nutmegdrum_relay.callers import Call, CallerDisconnected
 from nutmegdrum_relay.dialect import Headers
 from nutmegdrum_relay.headers import answer_headers
@@ -70,7 +71,7 @@
             if backend.is_entry_vm:
                 timeout = left
             try:
-                answer = self._attempt(pending, backend, timeout)
+                answer = self._attempt(pending, backend, timeout, failed_attempts)
                 if answer.status < FAILED_STATUS:
                     return answer
                 failure, loss = answer, Loss.FAILED
@@ -88,8 +89,16 @@
             if not retry or not self._resends.allows(pending, Resend.RETRY):
                 return failure or self._give_up(pending, failed_attempts, progress.left)
 
-    def _attempt(self, pending: PendingRequest, backend, timeout: Duration) -> CompleteAnswer:
-        attempt = self._attempts.begin(pending, backend, timeout)
+    def _attempt(
+        self,
+        pending: PendingRequest,
+        backend: Backend,
+        timeout: Duration,
+        failed_attempts: FailedAttempts,
+    ) -> CompleteAnswer:
+        attempt = self._attempts.begin(
+            pending, backend, timeout, lambda: self._longer(pending, failed_attempts)
+        )
         keep = failed = False
         try:
             body = self._attempts.read_body(pending, attempt, timeout)
@@ -102,6 +111,16 @@
         finally:
             self._attempts.end(pending, attempt, keep, failed)
 
+    def _longer(self, pending: PendingRequest, failed_attempts: FailedAttempts) -> Duration:
+        """Return how much longer to wait for a silent server: 0 if another one may be asked."""
+        left = pending.time_to_deadline(self._clock)
+        progress = failed_attempts.progress(left)
+        progress = progress._replace(sent=progress.sent + 1)
+        retries = may_retry(pending.route, Loss.SILENT, progress)
+        if retries and self._resends.allows(pending, Resend.RETRY):
+            return Duration(0)
+        return Duration(max(0, left))
+
     def _give_up(
         self, pending: PendingRequest, failed_attempts: FailedAttempts, left: Duration
     ) -> CompleteAnswer:
--- a/packages/relay/src/nutmegdrum_relay/retry_policy.py
+++ b/packages/relay/src/nutmegdrum_relay/retry_policy.py
@@ -140,6 +140,14 @@
     return route.kind is RouteKind.STREAM and route.resumable
 
 
+def silence_attempts(route: Route) -> int:
+    """Return the attempts that a stream may use up because engines are silent.
+
+    One is left, if possible, for an engine that breaks it off.
+    """
+    return min(route.max_attempts, max(2, route.max_attempts - 1))
+
+
 def passed_on_attempts(route: Route, sent: int) -> int:
     """Return the attempts that another entry VM may make for a request that was sent before.
 
--- a/packages/relay/src/nutmegdrum_relay/running.py
+++ b/packages/relay/src/nutmegdrum_relay/running.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Collection
+from typing import NamedTuple, Protocol
 
 from nutmegdrum_coord.ids import BackendId, Fingerprint
 
@@ -9,25 +10,47 @@
 from nutmegdrum_relay.upstream import AbortReason, Exchange
 
 
+class MovableStream(Protocol):
+    """A caller's stream that may go on at another engine."""
+
+    @property
+    def copy(self) -> Backend | None:
+        """Return the engine with a copy of its KV cache, if it has begun; else None."""
+        ...
+
+    def may_move(self) -> bool:
+        """Return whether it may be sent once more because its engine is silent."""
+        ...
+
+
+class RunningStream(NamedTuple):
+    """Exchange of a stream in progress."""
+
+    exchange: Exchange
+    backend: Backend
+    sent_ms: int
+    stream: MovableStream
+
+
 class RunningStreams:
     """Exchanges of streams in progress by backend server; thread-safe."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._exchanges: dict[BackendId, dict[Exchange, tuple[Backend, int]]] = {}
+        self._running: dict[BackendId, dict[Exchange, RunningStream]] = {}
 
-    def add(self, backend: Backend, exchange: Exchange, now_ms: int) -> None:
-        """Register an exchange that was sent at `now_ms`."""
+    def add(self, running: RunningStream) -> None:
+        """Register a stream."""
         with self._lock:
-            self._exchanges.setdefault(backend.id, {})[exchange] = (backend, now_ms)
+            self._running.setdefault(running.backend.id, {})[running.exchange] = running
 
     def remove(self, backend: Backend, exchange: Exchange) -> None:
         """Unregister an exchange that has ended."""
         with self._lock:
-            exchanges = self._exchanges.get(backend.id, {})
-            exchanges.pop(exchange, None)
-            if not exchanges:
-                self._exchanges.pop(backend.id, None)
+            running = self._running.get(backend.id, {})
+            running.pop(exchange, None)
+            if not running:
+                self._running.pop(backend.id, None)
 
     def silent_since_ms(self) -> list[tuple[Backend, int]]:
         """Return each backend server with streams in progress, and since when it has been silent.
@@ -37,19 +60,16 @@
         """
         with self._lock:
             silent = []
-            for exchanges in self._exchanges.values():
-                backend, _ = next(iter(exchanges.values()))
-                first_ms = min(sent_ms for _, sent_ms in exchanges.values())
+            for running in self._running.values():
+                backend = next(iter(running.values())).backend
+                first_ms = min(each.sent_ms for each in running.values())
                 silent.append((backend, max(backend.last_data_ms, first_ms)))
             return silent
 
-    def abort_all(self, backend: Backend) -> int:
-        """Abort all exchanges with a backend server and return their number."""
+    def at(self, backend: Backend) -> list[RunningStream]:
+        """Return the streams in progress at a backend server."""
         with self._lock:
-            exchanges = list(self._exchanges.get(backend.id, {}))
-        for exchange in exchanges:
-            exchange.abort(AbortReason.SILENT_SERVER)
-        return len(exchanges)
+            return list(self._running.get(backend.id, {}).values())
 
 
 class BeginningAttempts:
--- a/packages/relay/src/nutmegdrum_relay/selection.py
+++ b/packages/relay/src/nutmegdrum_relay/selection.py
@@ -138,6 +138,12 @@
             return None
         return limited.get(granted, best)
 
+    def has_other(self, pending: PendingRequest, tried: list[BackendId]) -> bool:
+        """Return whether there is a backend server that is up and has not had the request."""
+        now_ms = self._clock.elapsed_ms()
+        eligible = self._eligible(pending, resend=True)
+        return any(b.id not in tried and b.health(now_ms) is Health.UP for b in eligible)
+
     def successor(self, backend: Backend) -> Backend:
         """Return the engine that now listens at `backend`'s address; copies are sent there."""
         return self._backends.successor(backend)
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -5,6 +5,7 @@
 it need not repeat the prefill.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from nutmegdrum.retries import Resend
@@ -28,7 +29,7 @@
 from nutmegdrum_relay.headers import answer_headers
 from nutmegdrum_relay.pending_request import PendingRequest
 from nutmegdrum_relay.resends import Resends
-from nutmegdrum_relay.retry_policy import FailedAttempts, Loss, may_retry
+from nutmegdrum_relay.retry_policy import FailedAttempts, Loss, may_retry, silence_attempts
 from nutmegdrum_relay.selection import Selection
 from nutmegdrum_relay.sse import Event, EventSplitter
 from nutmegdrum_relay.upstream import ConnectionLost
@@ -61,6 +62,18 @@
     resumed_from_copy: bool = False
 
 
+class _Movable:
+    """A stream as the silence monitor sees it."""
+
+    def __init__(self, state: _StreamState, may_move: Callable[[], bool]):
+        self._state = state
+        self.may_move = may_move
+
+    @property
+    def copy(self) -> Backend | None:
+        return self._state.copy if self._state.head_sent else None
+
+
 class StreamRelay:
     """Relays event streams.
 
@@ -129,10 +142,12 @@
             pending,
             backend,
             Duration(min(left, FIRST_EVENT_TIMEOUT)),
+            lambda: self._longer(pending, state),
             last_event_id=state.last_event_id,
             copy_to=state.copy,
             copy_at=copy_at,
             time_left=left,
+            stream=_Movable(state, lambda: self._may_move(pending, state)),
         )
         if state.failed_attempts.sent or state.failed_attempts.unsent:
             RESUMED.labels(str(copy_at is not None).lower()).inc()
@@ -238,6 +253,25 @@
                 # The engine has no copy, but may accept the request without one.
                 state.tried.remove(backend.id)
 
+    def _may_move(self, pending: PendingRequest, state: _StreamState) -> bool:
+        """Return whether a stream may leave an engine that is only silent.
+
+        An attempt is kept for an engine that fails for certain.
+        """
+        attempts = state.failed_attempts.sent + 2
+        if not pending.route.resumable or attempts > silence_attempts(pending.route):
+            return False
+        if not self._selection.has_other(pending, state.tried):
+            return False
+        return self._attempts.may_resend(pending) and self._resends.allows(pending, Resend.RECOVERY)
+
+    def _longer(self, pending: PendingRequest, state: _StreamState) -> Duration:
+        """Return how much longer to wait for an event; 0 if the stream moves, or at its end."""
+        left = pending.time_to_deadline(self._clock)
+        if left <= 0 or self._may_move(pending, state):
+            return Duration(0)
+        return Duration(min(left, EVENT_TIMEOUT))
+
     def _may_continue(self, pending: PendingRequest, state: _StreamState) -> bool:
         progress = state.failed_attempts.progress(pending.time_to_deadline(self._clock))
         retry = may_retry(pending.route, state.last_loss, progress)
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -9,7 +9,7 @@
 from http.client import HTTPException
 from typing import NamedTuple
 
-from nutmegdrum.bounded_http import MAX_HEAD, BoundedConnection
+from nutmegdrum.bounded_http import MAX_HEAD, BoundedConnection, Extend, give_up
 from nutmegdrum.sockets import is_readable
 from nutmegdrum.units import Address, Duration, parse_count
 from nutmegdrum_coord.clock import Clock
@@ -119,9 +119,15 @@
         except (HTTPException, HTTPError, OSError, UnicodeError) as exc:
             raise ConnectionLost(str(exc)) from exc
 
-    def receive(self, timeout: Duration) -> AnswerHead:
+    def receive(self, timeout: Duration, extend: Extend = give_up) -> AnswerHead:
         """Wait for the answer's head.
 
+        Parameters
+        ----------
+        extend : callable
+            Returns how much longer to wait when the time-out of the head, or of a part of the body,
+            has passed.
+
         Raises
         ------
         TimeoutError
@@ -130,6 +136,7 @@
             If the connection was closed, or the data is not an HTTP answer.
         """
         self._conn.timeout = timeout / _MS_PER_S
+        self._conn.bounds.extend = extend
         self._conn.bounds.renew(timeout, MAX_HEAD)
         try:
             self._resp = self._conn.getresponse()
--- a/packages/relay/tests/test_relay.py
+++ b/packages/relay/tests/test_relay.py
@@ -288,6 +288,9 @@
     state = {"breaks": breaks_after}
 
     def script(received):
+        if received.target == "/x-report":
+            received.answer(200)
+            return
         first = int(received.headers.get("x-last", "0")) + 1
         breaks, state["breaks"] = state["breaks"], None
         received.start_events(X_Id=received.headers["x-id"], X_Seal=f"seal-{first}")
--- a/packages/relay/tests/test_unwilling_servers.py
+++ b/packages/relay/tests/test_unwilling_servers.py
@@ -202,7 +202,7 @@
     def send(self, *request):
         pass
 
-    def receive(self, timeout):
+    def receive(self, timeout, extend):
         return self._answer()
 
     def chunks(self, timeout):
--- a/packages/testing/src/nutmegdrum_testing/limited_fleet.py
+++ b/packages/testing/src/nutmegdrum_testing/limited_fleet.py
@@ -148,7 +148,7 @@
     def send(self, *request: object) -> None:
         """Accept the request."""
 
-    def receive(self, timeout: Duration) -> AnswerHead:
+    def receive(self, timeout: Duration, extend: object) -> AnswerHead:
         """Return the answer's head."""
         return self._answer()
 
