Answer callers before their deadline, and connect no longer than it lasts

Cause: the answer at the deadline was sent when the caller's deadline, which began before the request arrived, had passed already; and each attempt to connect lasted 250 ms, whatever time was left. Callers are now answered 25 ms (a tenth of a short deadline) before it, and the time-out of a connection ends with it. One cut short that way is no evidence against the server.

TestConnection failed before for 100 ms (it took 250); TestDeadline is new.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -24,6 +24,7 @@
 from nutmegdrum_relay.running import MovableStream, RunningStream, RunningStreams
 from nutmegdrum_relay.targets import EntryVmTarget, ServerTarget, Target
 from nutmegdrum_relay.upstream import (
+    CONNECT_TIMEOUT,
     AbortReason,
     AnswerHead,
     ConnectFailed,
@@ -299,11 +300,19 @@
 
     def _open(self, pending: PendingRequest, backend: Backend) -> Exchange:
         fresh = pending.route.kind is not RouteKind.IDEMPOTENT
+        left = max(1, pending.time_to_deadline(self._clock))
         try:
             exchange = self._upstream.open(
-                backend.id, backend.address, fresh, request_id=pending.terms.request_id
+                backend.id,
+                backend.address,
+                fresh,
+                timeout=Duration(min(CONNECT_TIMEOUT, left)),
+                request_id=pending.terms.request_id,
             )
         except ConnectFailed as exc:
+            if left < CONNECT_TIMEOUT and pending.time_to_deadline(self._clock) <= 0:
+                # The server had less time than a lost packet takes, which says nothing about it.
+                raise AttemptLost(Loss.NOT_SENT, str(exc)) from exc
             self._target(backend).on_connect(backend, connected=False)
             self._backends.on_down(backend, "no-connection")
             self._upstream.close_idle(backend.id)
--- a/packages/relay/src/nutmegdrum_relay/pending_request.py
+++ b/packages/relay/src/nutmegdrum_relay/pending_request.py
@@ -22,7 +22,7 @@
     headers : list
         The caller's headers that are forwarded.
     deadline_ms : int
-        Elapsed time in ms after which the caller no longer waits for the answer.
+        Elapsed time in ms by which the caller is answered, just before it stops waiting.
     fingerprint : Fingerprint
         Identity of the request's content; equal for resends, at whichever entry VM.
     parts : tuple of Fingerprint
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -21,7 +21,7 @@
 from nutmegdrum_relay.crash_watch import CrashWatch
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import Dialect, Headers, RequestTerms
-from nutmegdrum_relay.documents import Route, RouteKind
+from nutmegdrum_relay.documents import RouteKind
 from nutmegdrum_relay.entry_peers import passed_on_terms, refusal_headers
 from nutmegdrum_relay.headers import INTERNAL_HEADERS
 from nutmegdrum_relay.pending_request import PendingRequest
@@ -29,6 +29,7 @@
 from nutmegdrum_relay.plain_relay import PlainRelay
 from nutmegdrum_relay.refusals import refusal_answer
 from nutmegdrum_relay.resends import Resends
+from nutmegdrum_relay.retry_policy import answer_within
 from nutmegdrum_relay.routing_table import RoutingTable, choose_service
 from nutmegdrum_relay.selection import Selection
 from nutmegdrum_relay.stream_relay import StreamRelay
@@ -221,7 +222,7 @@
         workspace = table.workspace(terms.key) if terms.key else None
         if workspace is None and table.needs_key(route):
             raise v.Refusal(v.UNAUTHENTICATED, detail="no workspace holds this key")
-        deadline_ms = _deadline_ms(call, route, terms.deadline)
+        deadline_ms = call.received_ms + int(answer_within(route, terms.deadline))
         asked = b"%s %s\n%s" % (call.method.encode(), call.target.encode(), body)
         owner = workspace.id if workspace is not None else WorkspaceId("")
         identity = fingerprint(owner, RouteName(route.name), asked)
@@ -276,9 +277,3 @@
     if deadline is None:
         return DOCUMENT_WAIT
     return Duration(min(DOCUMENT_WAIT, deadline // DEADLINE_DIVISOR))
-
-
-def _deadline_ms(call: Call, route: Route, deadline: Duration | None) -> int:
-    """Return the elapsed time in ms of the caller's deadline or the route's time-out."""
-    wait = route.timeout if deadline is None else min(route.timeout, deadline)
-    return call.received_ms + int(wait)
--- a/packages/relay/src/nutmegdrum_relay/retry_policy.py
+++ b/packages/relay/src/nutmegdrum_relay/retry_policy.py
@@ -36,6 +36,14 @@
 or more (the users' page on requests)."""
 
 
+DEADLINE_MARGIN = Duration(25)
+"""Time before a caller's deadline at which it is answered at the latest; several round trips to
+callers in the region."""
+
+DEADLINE_MARGIN_DIVISOR = 10
+"""Divisor of a short deadline that gives its margin."""
+
+
 class Loss(Enum):
     """Reason why an attempt ended without an answer that can be forwarded."""
 
@@ -126,6 +134,20 @@
         return Refusal(DEADLINE_UNREACHABLE if left <= 0 else lost, self.verdict)
 
 
+def answer_within(route: Route, deadline: Duration | None) -> Duration:
+    """Return the time within which a caller is answered, so that a refusal reaches it in time.
+
+    Parameters
+    ----------
+    deadline : Duration or None
+        Time that the caller waits.
+    """
+    if deadline is None:
+        return route.timeout
+    margin = min(DEADLINE_MARGIN, deadline // DEADLINE_MARGIN_DIVISOR)
+    return Duration(min(route.timeout, deadline - margin))
+
+
 def may_retry(route: Route, loss: Loss, progress: Progress) -> bool:
     """Return whether a request may be sent to another backend server after a failed attempt.
 
--- a/packages/relay/tests/test_attempts.py
+++ b/packages/relay/tests/test_attempts.py
@@ -4,7 +4,7 @@
 from nutmegdrum.units import Address, Duration
 from nutmegdrum_coord.clock import ManualClock, SystemClock
 from nutmegdrum_relay.attempts import BODY_GRACE, Attempt, AttemptLost, Attempts
-from nutmegdrum_relay.backends import Backends
+from nutmegdrum_relay.backends import Backends, Health
 from nutmegdrum_relay.crash_watch import CrashWatch
 from nutmegdrum_relay.documents import RouteKind
 from nutmegdrum_relay.fleet_work import UnsharedWork
@@ -42,7 +42,7 @@
         self.shared = shared
         self.reported_before = None
 
-    def open(self, backend, address, fresh, request_id=""):
+    def open(self, backend, address, fresh, timeout, request_id=""):
         self.reported_before = list(self.shared.reported)
         raise ConnectFailed("refused")
 
@@ -100,6 +100,35 @@
         assert shared.reported[-1] == {}
 
 
+class DarkUpstream:
+    """Takes the whole time-out of a connection attempt in model time."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def open(self, backend, address, fresh, timeout, request_id=""):
+        self._clock.advance(timeout)
+        raise ConnectFailed("timed out")
+
+    def close_idle(self, backend):
+        pass
+
+
+class TestConnection:
+    @pytest.mark.parametrize(("left_ms", "taken_ms"), [(5_000, 250), (100, 100)])
+    def test_an_attempt_to_connect_does_not_outlast_the_callers_deadline(self, left_ms, taken_ms):
+        clock = ManualClock(10_000)
+        backends = Backends(clock)
+        backends.set_listing([listed("b", Address("127.0.0.1:1"))])
+        (backend,) = backends.of_service(SERVICE)
+        attempts = make_attempts(clock, backends, DarkUpstream(clock), Shared(backends))
+        with pytest.raises(AttemptLost):
+            attempts.begin(make_pending(clock, left_ms), backend, Duration(left_ms))
+        assert clock.elapsed_ms() == 10_000 + taken_ms
+        paused = backend.health(clock.elapsed_ms()) is Health.PAUSED
+        assert paused == (left_ms >= taken_ms + 1)
+
+
 class TimedExchange:
     """Records the time-out given for a body."""
 
--- a/packages/relay/tests/test_retry_policy.py
+++ b/packages/relay/tests/test_retry_policy.py
@@ -7,6 +7,7 @@
     FailedAttempts,
     Loss,
     Progress,
+    answer_within,
     attempt_timeout,
     backoff_hint,
     may_retry,
@@ -55,6 +56,15 @@
         assert not may_retry(once, Loss.NOT_SENT, progress(0, MAX_UNSENT_ATTEMPTS))
 
 
+class TestDeadline:
+    @pytest.mark.parametrize(("deadline", "within"), [(600, 575), (100, 90), (25_000, 5_000)])
+    def test_callers_are_answered_before_their_deadline(self, deadline, within):
+        assert answer_within(route(RouteKind.IDEMPOTENT), Duration(deadline)) == within
+
+    def test_without_a_deadline_the_routes_time_out_counts(self):
+        assert answer_within(route(RouteKind.IDEMPOTENT), None) == 5_000
+
+
 class TestTimes:
     def test_only_a_retriable_idempotent_request_gets_a_shorter_time_out(self):
         idempotent = route(RouteKind.IDEMPOTENT, max_attempts=2)
--- a/packages/relay/tests/test_unwilling_servers.py
+++ b/packages/relay/tests/test_unwilling_servers.py
@@ -247,7 +247,7 @@
             links,
         )
 
-    def open(self, backend, address, fresh, request_id=""):
+    def open(self, backend, address, fresh, timeout, request_id=""):
         return ModelExchange(lambda: self._servers.answer(self._name, backend))
 
     def keep(self, backend, exchange):
--- a/packages/testing/src/nutmegdrum_testing/limited_fleet.py
+++ b/packages/testing/src/nutmegdrum_testing/limited_fleet.py
@@ -260,7 +260,7 @@
         self.backends.limits.merge(ledger.limits.announced())
         self.permits.set_entry_vms(entry_vms)
 
-    def open(self, backend, address, fresh, request_id=""):
+    def open(self, backend, address, fresh, timeout, request_id=""):
         """Return an exchange with a server, as `UpstreamPool.open` does."""
         at_ms = self._clock.elapsed_ms() + self._waited_ms
         return _Exchange(lambda: self._servers[backend].answer(self._process, at_ms))
