Take a late request for no sign of a cut while the service answers others

Now such a request raises no doubt if any server of its service has answered since it was sent. TestSilence of test_links failed before for that case.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -330,12 +330,13 @@
         timeout: Duration,
         extend: Extend,
     ) -> Attempt:
+        sent_ms = self._clock.elapsed_ms()
         try:
             exchange.send(pending.method, pending.target, pending.headers + headers, pending.body)
             answer = exchange.receive(timeout, extend)
         except TimeoutError as exc:
             self._backends.on_answer(backend, failed=True)
-            self._target(backend).on_silence(backend)
+            self._target(backend).on_silence(backend, sent_ms)
             raise AttemptLost(Loss.SILENT, "no response headers in time") from exc
         except ConnectionLost as exc:
             self._backends.on_answer(backend, failed=True)
--- a/packages/relay/src/nutmegdrum_relay/links.py
+++ b/packages/relay/src/nutmegdrum_relay/links.py
@@ -43,6 +43,7 @@
         self._failed_ms: dict[ServiceName, dict[BackendId, int]] = {}
         self._cut_off: set[ServiceName] = set()
         self._doubted: set[ServiceName] = set()
+        self._answered_ms: dict[ServiceName, int] = {}
         self.on_failure: Callable[[], None] = lambda: None
 
     def on_connect(self, backend: Backend, connected: bool) -> None:
@@ -56,10 +57,22 @@
             failed[backend.id] = self._clock.elapsed_ms()
         self.on_failure()
 
-    def on_silence(self, backend: Backend) -> None:
-        """Record an exchange without an answer; the connection may be cut, though it is open."""
+    def on_answer(self, backend: Backend) -> None:
+        """Record an answer."""
         with self._lock:
-            self._doubted.add(backend.listed.service)
+            self._answered_ms[backend.listed.service] = self._clock.elapsed_ms()
+
+    def on_silence(self, backend: Backend, since_ms: int) -> None:
+        """Record an exchange without an answer; the connection may be cut, though it is open.
+
+        It is not if any server of the service has answered since `since_ms`, when the request was
+        sent; such a request only takes long.
+        """
+        service = backend.listed.service
+        with self._lock:
+            if self._answered_ms.get(service, since_ms) > since_ms:
+                return
+            self._doubted.add(service)
         self.on_failure()
 
     def cut_off_services(self) -> frozenset[ServiceName]:
--- a/packages/relay/src/nutmegdrum_relay/targets.py
+++ b/packages/relay/src/nutmegdrum_relay/targets.py
@@ -36,8 +36,8 @@
         """Record the outcome of a new connection."""
         ...
 
-    def on_silence(self, backend: Backend) -> None:
-        """Record an exchange without an answer."""
+    def on_silence(self, backend: Backend, since_ms: int) -> None:
+        """Record an exchange without an answer since it was sent."""
         ...
 
     def refusal_loss(self, headers: Headers) -> Loss | None:
@@ -82,9 +82,9 @@
         """Record the outcome of a new connection."""
         self._links.on_connect(backend, connected)
 
-    def on_silence(self, backend: Backend) -> None:
-        """Record an exchange without an answer."""
-        self._links.on_silence(backend)
+    def on_silence(self, backend: Backend, since_ms: int) -> None:
+        """Record an exchange without an answer since it was sent."""
+        self._links.on_silence(backend, since_ms)
 
     def refusal_loss(self, headers: Headers) -> Loss | None:
         """Return None, since a backend server answers for itself."""
@@ -92,6 +92,7 @@
 
     def on_answer(self, backend: Backend, terms: AnswerTerms) -> None:
         """Apply load, limits and backoff hints of an answer."""
+        self._links.on_answer(backend)
         self._backends.on_load(backend, terms.load)
         if terms.other_backend:
             return
@@ -126,7 +127,7 @@
     def on_connect(self, backend: Backend, connected: bool) -> None:
         """Do nothing: the links to entry VMs say nothing about those to backend servers."""
 
-    def on_silence(self, backend: Backend) -> None:
+    def on_silence(self, backend: Backend, since_ms: int) -> None:
         """Do nothing, for the same reason."""
 
     def refusal_loss(self, headers: Headers) -> Loss | None:
--- a/packages/relay/tests/test_links.py
+++ b/packages/relay/tests/test_links.py
@@ -65,6 +65,22 @@
         assert not links.is_cut_off(SERVICE, [])
 
 
+class TestSilence:
+    @pytest.mark.parametrize(("answered", "suspected"), [(True, []), (False, [SERVICE])])
+    def test_a_request_that_takes_long_is_no_sign_of_a_cut(self, answered, suspected):
+        clock = ManualClock(10_000)
+        links = Links(clock)
+        slow, other = servers_of(2, clock)
+        links.on_answer(other)
+        sent_ms = clock.elapsed_ms()
+        clock.advance(100)
+        if answered:
+            links.on_answer(other)
+        clock.advance(1_000)
+        links.on_silence(slow, sent_ms)
+        assert links.take_suspected() == suspected
+
+
 class TestProber:
     """The first failure is enough to find out about the other servers, and the end of a cut."""
 
