Tell a silent engine from its successor, and do not end sound exchanges

Its engine had been dark for 1.2 s and came back as another incarnation, whose report explained the silence of the lost connection until the time-out of 9 s.

Silence below the limit and connections that time out are not reported to other entry VMs, whose pauses also end with the engine's next data. An engine counts as lost after 1.7 s.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -301,6 +301,7 @@
     def _open(self, pending: PendingRequest, backend: Backend) -> Exchange:
         fresh = pending.route.kind is not RouteKind.IDEMPOTENT
         left = max(1, pending.time_to_deadline(self._clock))
+        began_ms = self._clock.elapsed_ms()
         try:
             exchange = self._upstream.open(
                 backend.id,
@@ -314,7 +315,8 @@
                 # The server had less time than a lost packet takes, which says nothing about it.
                 raise AttemptLost(Loss.NOT_SENT, str(exc)) from exc
             self._target(backend).on_connect(backend, connected=False)
-            self._backends.on_down(backend, "no-connection")
+            timed_out = self._clock.elapsed_ms() - began_ms >= CONNECT_TIMEOUT
+            self._backends.on_down(backend, "no-connection", silent=timed_out)
             self._upstream.close_idle(backend.id)
             raise AttemptLost(Loss.NOT_SENT, str(exc)) from exc
         if not exchange.reused:
--- a/packages/relay/src/nutmegdrum_relay/backends.py
+++ b/packages/relay/src/nutmegdrum_relay/backends.py
@@ -172,6 +172,7 @@
                 self._backends[listed.id] = backend
             self._mark_replaced(known)
             for backend_id in known.keys() - self._backends.keys():
+                known[backend_id].gone = True
                 log_decision("backend_gone", backend=backend_id)
             self.limits.retain(self._backends.keys())
 
@@ -192,7 +193,7 @@
         return backend
 
     def found_down(self, cut_off: Collection[ServiceName] = ()) -> tuple[BackendId, ...]:
-        """Return the listed backend servers that this VM itself has found down.
+        """Return the listed backend servers that this VM itself has found down, not only silent.
 
         Parameters
         ----------
@@ -206,6 +207,7 @@
                 for b in self._backends.values()
                 if b.listed.service not in cut_off
                 and (b.gone or (now_ms < b.paused_until_ms and b.pause_ms))
+                and not b.paused_as_silent
             )
 
     def pause_reported_down(self, down: Iterable[BackendId]) -> None:
@@ -219,6 +221,7 @@
                 if backend is not None and now_ms >= backend.paused_until_ms:
                     backend.pause_ms = 0
                     backend.paused_until_ms = now_ms + REPORTED_PAUSE
+                    backend.paused_as_silent = True
 
     def on_replaced(self, backend: Backend) -> None:
         """Mark a backend server as gone because another one answers at its address."""
@@ -319,11 +322,11 @@
         now_ms = self._clock.elapsed_ms()
         with self._lock:
             self._update_failure_rate(backend, failed=True)
+            backend.paused_as_silent = silent
             if now_ms < backend.paused_until_ms:
                 return
             backend.pause_ms = min(MAX_PAUSE, backend.pause_ms * 2 or FIRST_PAUSE)
             backend.paused_until_ms = now_ms + backend.pause_ms
-            backend.paused_as_silent = silent
         log_decision("backend_paused", backend=backend.id, reason=reason, pause_ms=backend.pause_ms)
 
     def _update_failure_rate(self, backend: Backend, failed: bool) -> None:
--- a/packages/relay/src/nutmegdrum_relay/dialect.py
+++ b/packages/relay/src/nutmegdrum_relay/dialect.py
@@ -158,6 +158,10 @@
         """Return the headers that the relay adds to an attempt's request."""
         ...
 
+    def probe_headers(self, backend: BackendId) -> Headers:
+        """Return headers of a probe by which another backend server at the address refuses it."""
+        ...
+
     def caller_headers(self, request: RequestTerms, attempt: AttemptTerms) -> Headers:
         """Return headers with which another entry VM handles a request as its caller's.
 
--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -22,6 +22,7 @@
 from nutmegdrum_relay.decisions import log_decision
 from nutmegdrum_relay.dialect import Dialect
 from nutmegdrum_relay.document_follower import DocumentFollower
+from nutmegdrum_relay.engine_probes import EngineProbes
 from nutmegdrum_relay.entry_peers import EntryPeers
 from nutmegdrum_relay.fleet_work import FleetWork, Reporter
 from nutmegdrum_relay.links import LinkProber, Links
@@ -164,8 +165,12 @@
             self._backends,
             running,
             self._upstream,
-            dialect.report_path,
-            lambda backend: permits.acquire([backend]) is not None,
+            EngineProbes(
+                clock,
+                self._upstream,
+                dialect,
+                lambda backend: permits.acquire([backend]) is not None,
+            ),
         )
         self._draining = False
         self._ends_ms: int | None = None
--- a/packages/relay/src/nutmegdrum_relay/silence_policy.py
+++ b/packages/relay/src/nutmegdrum_relay/silence_policy.py
@@ -10,16 +10,18 @@
 
 from nutmegdrum.units import Duration
 
-LONG_SILENCE = Duration(2_000)
+LONG_SILENCE = Duration(1_700)
 """Silence after which an engine counts as lost; sound ones are silent for a second or so."""
 
 
 class Contact(Enum):
-    """Outcome of probing a silent engine."""
+    """Outcome of probing a silent engine; another one may have its address by then."""
 
     ANSWERS = "answers"
     MUTE = "mute"
     UNREACHABLE = "unreachable"
+    REPLACED = "replaced"
+    UNKNOWN = "unknown"
 
 
 def is_lost(silence: Duration) -> bool:
@@ -40,8 +42,10 @@
     others_answer : bool
         Whether any other engine of the service is known to answer.
     """
-    if contact is Contact.ANSWERS:
+    if contact in (Contact.ANSWERS, Contact.UNKNOWN):
         return False
+    if contact is Contact.REPLACED:
+        return True
     if is_lost(silence):
         return copy_answers or others_answer
     return contact is Contact.UNREACHABLE and copy_answers
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -99,6 +99,8 @@
         self._sock = conn.sock
         self._resp: HTTPResponse | None = None
         self.aborted: AbortReason | None = None
+        self._lock = threading.Lock()
+        self._ended = False
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send the request; the answer may arrive before all of it is sent."""
@@ -187,12 +189,28 @@
         """Return the number of bytes received on this connection."""
         return self._conn.bounds.received
 
-    def abort(self, reason: AbortReason) -> None:
-        """Shut the connection down, which wakes the thread that reads from it."""
-        self.aborted = self.aborted or reason
-        if self._sock is not None:
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_RDWR)
+    def abort(self, reason: AbortReason) -> bool:
+        """Shut the connection down, which wakes the thread that reads from it.
+
+        Returns
+        -------
+        bool
+            False if the exchange has ended; the connection may carry another one by now.
+        """
+        with self._lock:
+            if self._ended:
+                return False
+            self.aborted = self.aborted or reason
+            if self._sock is not None:
+                with contextlib.suppress(OSError):
+                    self._sock.shutdown(socket.SHUT_RDWR)
+        return True
+
+    def end(self) -> bool:
+        """End the exchange; return whether its connection can be reused."""
+        with self._lock:
+            self._ended = True
+            return self.is_reusable()
 
     def is_reusable(self) -> bool:
         """Return whether the answer was read to its end and the connection stays open."""
@@ -304,7 +322,7 @@
 
     def keep(self, backend: BackendId, exchange: Exchange) -> None:
         """Put the connection into the pool if it is reusable, otherwise close it."""
-        if not exchange.is_reusable():
+        if not exchange.end():
             exchange.close()
             return
         now_ms = self._clock.elapsed_ms()
--- a/packages/testing/src/nutmegdrum_testing/relay_dialect.py
+++ b/packages/testing/src/nutmegdrum_testing/relay_dialect.py
@@ -60,6 +60,10 @@
             headers.append(("X-Copy-At", attempt.copy_at))
         return headers
 
+    def probe_headers(self, backend: BackendId) -> Headers:
+        """Return the header by which another backend server refuses a probe."""
+        return [("X-Backend", backend)]
+
     def caller_headers(self, request: RequestTerms, attempt: AttemptTerms) -> Headers:
         """Return headers with which another entry VM handles a request as its caller's."""
         headers = [("X-Deadline", str(int(attempt.time_left))), ("X-Key", request.key)]
