Keep the retry budget's bound through new leaders, restarts and moving callers

The ratio is 0.4, the shared part 50, and all entry VMs have 25 in place of it while no leader answers; a VM that does not know their number assumes 32. So two leaders and the time between them grant 125 of the 150 allowed, and callers that move 0.8.

--- a/packages/kernel/src/nutmegdrum/retries.py
+++ b/packages/kernel/src/nutmegdrum/retries.py
@@ -29,6 +29,9 @@
 RETRY_SHARE = 0.5
 """Share of the budget that retries may use; the rest is left to recoveries."""
 
+UNKNOWN_ENTRY_VMS = 32
+"""Assumed number of entry VMs before it is known."""
+
 _BUCKETS = 20
 _MS_PER_S = 1_000
 
@@ -55,13 +58,17 @@
     Attributes
     ----------
     ratio : float
-        Resends for each request, at the entry VM that sends it.
+        Resends for each request, at the entry VM that sends it; callers that move to another entry
+        VM within `WINDOW` have it twice.
     shared : int
-        Further resends of all entry VMs together.
+        Further resends of all entry VMs together; a change of leader grants them twice.
+    leaderless : int
+        Further resends of all entry VMs together while no leader answers.
     """
 
-    ratio: float = 0.6
-    shared: int = 75
+    ratio: float = 0.4
+    shared: int = 50
+    leaderless: int = 25
 
 
 class WindowCount:
@@ -148,24 +155,24 @@
 
     Parameters
     ----------
-    ask_leader : callable
+    ask_leader : callable or None
         Asks the state leader for a resend from the shared budget; returns None if it does not
-        answer.
+        answer. Without one, this VM has the shared budget for itself.
     """
 
     def __init__(
         self,
         clock: Clock,
         rng: random.Random,
-        ask_leader: Callable[[ServiceName, Resend], bool | None] = lambda service, kind: None,
+        ask_leader: Callable[[ServiceName, Resend], bool | None] | None = None,
         limits: RetryLimits = RetryLimits(),
     ):
         self._clock = clock
         self._rng = rng
-        self._ask_leader = ask_leader
+        self._ask_leader = ask_leader or SharedRetryBudget(clock, limits).grant
         self._limits = limits
         self._lock = threading.Lock()
-        self._entry_vms = 1
+        self._entry_vms = UNKNOWN_ENTRY_VMS
         self._leader_silent_until_ms = 0
         self._services: dict[ServiceName, _ServiceBudget] = {}
 
@@ -203,7 +210,7 @@
                 return granted
             self._leader_silent_until_ms = self._clock.elapsed_ms() + int(LEADER_RETRY)
         now_ms = self._clock.elapsed_ms()
-        per_window = kind.share * self._limits.shared / self._entry_vms
+        per_window = kind.share * self._limits.leaderless / self._entry_vms
         with self._lock:
             return self._service(service).own_part.take(now_ms, per_window)
 
