End silent streams with their deadline, and count no silence as a crash

Found by the review.

A stream whose events end in a time-out was reported as a crash of its request: urllib3 turns a time-out within chunks into an error of its own, which was taken for a broken connection, and any failure of an attempt was reported.

--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -44,6 +44,9 @@
 answers are still delivered; requests may be held 250 ms too long (the users' price list)."""
 
 
+DISCARD_TIMEOUT = Duration(100)
+"""Time-out of the body of an answer that is not forwarded."""
+
 RESENT = Counter(
     "nutmegdrum_requests_resent", "Requests sent again, by the loss before", ["service", "reason"]
 )
@@ -348,6 +351,7 @@
         if loss is not None:
             if loss is Loss.NOT_SENT and not other_vm_sent(answer.headers):
                 pending.sends -= 1
+                pending.may_send_again = pending.sends > 0
             self._discard_body(exchange)
             raise AttemptLost(loss, f"the entry VM refused it with status {answer.status}")
         terms = self._dialect.answer_terms(answer.status, dict(answer.headers))
@@ -382,7 +386,7 @@
     def _discard_body(self, exchange: Exchange) -> None:
         """Read a short answer to its end so that the connection can be reused."""
         try:
-            for _ in exchange.chunks(Duration(100)):
+            for _ in exchange.chunks(DISCARD_TIMEOUT):
                 pass
         except (TimeoutError, ConnectionLost):
             exchange.abort(AbortReason.UNUSABLE_ANSWER)
@@ -421,7 +425,14 @@
             self._backends.change_work(attempt.backend, NO_WORK, read)
             self._shared.on_work_changed()
 
-    def end(self, pending: PendingRequest, attempt: Attempt, keep: bool, failed: bool) -> None:
+    def end(
+        self,
+        pending: PendingRequest,
+        attempt: Attempt,
+        keep: bool,
+        failed: bool,
+        loss: Loss | None = None,
+    ) -> None:
         """Finish an attempt.
 
         Parameters
@@ -430,6 +441,8 @@
             Whether the answer was read to its end, so that the connection can be reused.
         failed : bool
             Whether the attempt counts as a failure of the backend server.
+        loss : Loss or None
+            How the answer was lost, if it was.
         """
         self._backends.on_answer(attempt.backend, failed)
         self._end_wait(attempt.wait, answered=not failed)
@@ -437,7 +450,7 @@
         if not failed:
             self._crash_watch.on_success(pending.fingerprint)
             self._check_past_beginning(pending, attempt)
-        elif attempt.answer.status < FAILED_STATUS and not attempt.exchange.aborted:
+        elif loss is Loss.BROKEN and not attempt.exchange.aborted:
             self._report_broken(
                 pending, attempt.backend, attempt.sent_ms, attempt.events, attempt.first_data_ms
             )
--- a/packages/relay/src/nutmegdrum_relay/pending_request.py
+++ b/packages/relay/src/nutmegdrum_relay/pending_request.py
@@ -27,6 +27,8 @@
         Identity of the request's content; equal for resends, at whichever entry VM.
     parts : tuple of Fingerprint
         Parts of its prompt that other requests may share.
+    answer_margin : Duration
+        Time that the caller waits beyond the deadline, for an answer on its way.
     document : int
         Version of the routing document by which the request was accepted.
     passed_on : bool
@@ -58,6 +60,7 @@
     deadline_ms: int
     fingerprint: Fingerprint
     parts: tuple[Fingerprint, ...] = ()
+    answer_margin: Duration = Duration(0)
     document: int = 0
     passed_on: bool = False
     sent: int = 0
@@ -73,6 +76,11 @@
         """Return the time until the deadline; negative after it."""
         return Duration(self.deadline_ms - clock.elapsed_ms())
 
+    def on_answer_begun(self) -> None:
+        """Use all the time that the caller waits, as there is no refusal left to send in time."""
+        self.deadline_ms += int(self.answer_margin)
+        self.answer_margin = Duration(0)
+
     def on_caller_gone(self) -> None:
         """Abort the current exchange because the caller closed its connection."""
         with self._lock:
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -100,16 +100,17 @@
             pending, backend, timeout, lambda: self._longer(pending, failed_attempts)
         )
         keep = failed = False
+        loss: Loss | None = None
         try:
             body = self._attempts.read_body(pending, attempt, timeout)
             keep = True
             failed = attempt.answer.status >= FAILED_STATUS
             return CompleteAnswer(attempt.answer.status, attempt.answer.headers, body)
-        except AttemptLost:
-            failed = True
+        except AttemptLost as lost:
+            failed, loss = True, lost.loss
             raise
         finally:
-            self._attempts.end(pending, attempt, keep, failed)
+            self._attempts.end(pending, attempt, keep, failed, loss)
 
     def _longer(self, pending: PendingRequest, failed_attempts: FailedAttempts) -> Duration:
         """Return how much longer to wait for a silent server: 0 if another one may be asked."""
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -29,7 +29,7 @@
 from nutmegdrum_relay.plain_relay import PlainRelay
 from nutmegdrum_relay.refusals import refusal_answer
 from nutmegdrum_relay.resends import Resends
-from nutmegdrum_relay.retry_policy import answer_within
+from nutmegdrum_relay.retry_policy import answer_time
 from nutmegdrum_relay.routing_table import RoutingTable, choose_service
 from nutmegdrum_relay.selection import Selection
 from nutmegdrum_relay.stream_relay import StreamRelay
@@ -222,7 +222,7 @@
         workspace = table.workspace(terms.key) if terms.key else None
         if workspace is None and table.needs_key(route):
             raise v.Refusal(v.UNAUTHENTICATED, detail="no workspace holds this key")
-        deadline_ms = call.received_ms + int(answer_within(route, terms.deadline))
+        time = answer_time(route, terms.deadline)
         asked = b"%s %s\n%s" % (call.method.encode(), call.target.encode(), body)
         owner = workspace.id if workspace is not None else WorkspaceId("")
         identity = fingerprint(owner, RouteName(route.name), asked)
@@ -240,7 +240,8 @@
             workspace=workspace.id if workspace is not None else None,
             urgency=table.priority(route, workspace),
             demand=Demand(terms.prompt_tokens, terms.output_tokens),
-            deadline_ms=deadline_ms,
+            deadline_ms=call.received_ms + int(time.within),
+            answer_margin=time.margin,
             fingerprint=identity,
             parts=parts,
             document=table.version,
--- a/packages/relay/src/nutmegdrum_relay/retry_policy.py
+++ b/packages/relay/src/nutmegdrum_relay/retry_policy.py
@@ -134,8 +134,15 @@
         return Refusal(DEADLINE_UNREACHABLE if left <= 0 else lost, self.verdict)
 
 
-def answer_within(route: Route, deadline: Duration | None) -> Duration:
-    """Return the time within which a caller is answered, so that a refusal reaches it in time.
+class AnswerTime(NamedTuple):
+    """Time within which a caller is answered, and the time that it waits beyond that."""
+
+    within: Duration
+    margin: Duration
+
+
+def answer_time(route: Route, deadline: Duration | None) -> AnswerTime:
+    """Return when a caller is answered at the latest, so that a refusal reaches it in time.
 
     Parameters
     ----------
@@ -143,9 +150,10 @@
         Time that the caller waits.
     """
     if deadline is None:
-        return route.timeout
+        return AnswerTime(route.timeout, Duration(0))
     margin = min(DEADLINE_MARGIN, deadline // DEADLINE_MARGIN_DIVISOR)
-    return Duration(min(route.timeout, deadline - margin))
+    within = min(route.timeout, deadline - margin)
+    return AnswerTime(Duration(within), Duration(min(route.timeout, deadline) - within))
 
 
 def may_retry(route: Route, loss: Loss, progress: Progress) -> bool:
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -42,6 +42,9 @@
 """Longest gap between complete events before another engine is tried, even if comments or partial
 events arrive; docs/design/platform.md, silent engines."""
 
+MIN_TIME_TO_RESUME = Duration(100)
+"""Time left below which a stream is not sent again, as no event would come in it."""
+
 _OK = 200
 
 RESUMED = Counter("nutmegdrum_streams_resumed", "Streams that went on elsewhere", ["from_copy"])
@@ -152,16 +155,17 @@
         if state.failed_attempts.sent or state.failed_attempts.unsent:
             RESUMED.labels(str(copy_at is not None).lower()).inc()
         complete = failed = False
+        loss: Loss | None = None
         try:
             status = self._forward(call, pending, state, attempt)
             complete = True
             failed = status >= FAILED_STATUS
             return status
-        except AttemptLost:
-            failed = True
+        except AttemptLost as lost:
+            failed, loss = True, lost.loss
             raise
         finally:
-            self._attempts.end(pending, attempt, complete, failed)
+            self._attempts.end(pending, attempt, complete, failed, loss)
 
     def _forward(
         self, call: Call, pending: PendingRequest, state: _StreamState, attempt: Attempt
@@ -176,9 +180,12 @@
             state.head_sent = True
             state.media_type = media_type
             call.start(status, answer_headers(attempt.answer.headers))
+            pending.on_answer_begun()
         splitter = EventSplitter()
         try:
-            for piece in attempt.exchange.chunks(EVENT_TIMEOUT):
+            left = pending.time_to_deadline(self._clock)
+            timeout = Duration(max(1, min(left, EVENT_TIMEOUT)))
+            for piece in attempt.exchange.chunks(timeout, lambda: self._longer(pending, state)):
                 self._attempts.on_data(pending, attempt)
                 progressed = self._write(call, state, attempt, splitter.feed(piece))
                 left = pending.time_to_deadline(self._clock)
@@ -275,6 +282,7 @@
     def _may_continue(self, pending: PendingRequest, state: _StreamState) -> bool:
         progress = state.failed_attempts.progress(pending.time_to_deadline(self._clock))
         retry = may_retry(pending.route, state.last_loss, progress)
+        retry = retry and progress.left >= MIN_TIME_TO_RESUME
         retry = retry and self._attempts.may_resend(pending)
         return retry and self._resends.allows(pending, self._resend_kind(state))
 
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -16,7 +16,7 @@
 from nutmegdrum_coord.ids import BackendId
 from prometheus_client import Counter
 from urllib3 import HTTPResponse
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.util import SKIP_HEADER
 
 from nutmegdrum_relay.dialect import Headers
@@ -127,8 +127,7 @@
         Parameters
         ----------
         extend : callable
-            Returns how much longer to wait when the time-out of the head, or of a part of the body,
-            has passed.
+            Returns how much longer to wait for the head after the time-out.
 
         Raises
         ------
@@ -151,13 +150,15 @@
             raise ConnectionLost(f"invalid Content-Length {length!r}")
         return AnswerHead(self._resp.status, list(self._resp.headers.items()))
 
-    def chunks(self, timeout: Duration) -> Iterator[bytes]:
+    def chunks(self, timeout: Duration, extend: Extend = give_up) -> Iterator[bytes]:
         """Yield the body as it arrives.
 
         Parameters
         ----------
         timeout : Duration
             Time for the whole body, which each call of `extend` restarts.
+        extend : callable
+            Returns how much longer to wait for a part of the body after the time-out.
 
         Raises
         ------
@@ -165,6 +166,7 @@
             If the body was not complete in time, was truncated, or exceeds `MAX_BUFFERED`.
         """
         assert self._resp is not None
+        self._conn.bounds.extend = extend
         self.extend(timeout)
         try:
             if self._resp.chunked:
@@ -175,6 +177,8 @@
                     yield data
         except TimeoutError:
             raise
+        except ReadTimeoutError as exc:
+            raise TimeoutError(str(exc)) from exc
         except (HTTPException, HTTPError, OSError, ValueError, AttributeError) as exc:
             raise ConnectionLost(str(exc)) from exc
         if self.aborted:
--- a/packages/relay/tests/test_retry_policy.py
+++ b/packages/relay/tests/test_retry_policy.py
@@ -7,7 +7,7 @@
     FailedAttempts,
     Loss,
     Progress,
-    answer_within,
+    answer_time,
     attempt_timeout,
     backoff_hint,
     may_retry,
@@ -59,10 +59,12 @@
 class TestDeadline:
     @pytest.mark.parametrize(("deadline", "within"), [(600, 575), (100, 90), (25_000, 5_000)])
     def test_callers_are_answered_before_their_deadline(self, deadline, within):
-        assert answer_within(route(RouteKind.IDEMPOTENT), Duration(deadline)) == within
+        time = answer_time(route(RouteKind.IDEMPOTENT), Duration(deadline))
+        assert time.within == within
+        assert time.within + time.margin == min(deadline, 5_000)
 
     def test_without_a_deadline_the_routes_time_out_counts(self):
-        assert answer_within(route(RouteKind.IDEMPOTENT), None) == 5_000
+        assert answer_time(route(RouteKind.IDEMPOTENT), None) == (5_000, 0)
 
 
 class TestTimes:
