Draw all resends of generations on the retry budget of their service

Cause: further attempts were bounded by four rejections, six losses and a rate of 50 a second at each daemon, so that entry VMs add up. A request that engines of one VM had rejected went to a second VM as if it were new, and one that was passed on earned resends at both.

Now every send but the first needs a permission of the service's one budget (service of the model), shared with the plain calls. A generation that has begun asks until its recovery deadline; one that has not is refused at once as RETRY_BUDGET_SPENT, NOT_RUN. Refused connections cost nothing, a permission holds until a server is reached; that now holds for idempotent calls too. The VM that got a request from its caller counts it, also if it only passes it on. Nutmegdrum-Sent in a refusal of a passed-on request (optional; older VMs send none and count as not having sent) tells that a further VM's send is a resend. A generation that is taken over counts as begun: without tokens it was refused as NOT_RUN although its earlier owner may have sent it. A denied VM asks the leader again after 300 ms, as waiting generations ask every 50 ms. Claimed calls send at most once and needed no change.

--- a/packages/coord/src/nutmegdrum_coord/verdict.py
+++ b/packages/coord/src/nutmegdrum_coord/verdict.py
@@ -70,6 +70,11 @@
         Time after which the caller should retry, in ms; None if a retry cannot help.
     detail : str
         One sentence for human readers.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether a backend server may have got the request, which it rejected if it has not run.
     """
 
     def __init__(
@@ -84,3 +89,4 @@
         self.verdict = verdict
         self.retry_after_ms = retry_after_ms
         self.detail = detail
+        self.sent = False
--- a/packages/kernel/src/nutmegdrum/attempt_starter.py
+++ b/packages/kernel/src/nutmegdrum/attempt_starter.py
@@ -1,4 +1,4 @@
-"""Start of attempts: recovery budget, selection of a backend server, connection."""
+"""Start of attempts: recovery rate, retry budget, selection of a backend server, connection."""
 
 from collections.abc import Callable
 
@@ -9,8 +9,11 @@
 from nutmegdrum import metrics
 from nutmegdrum.attempts import Attempts
 from nutmegdrum.backends import BackendProtocol
-from nutmegdrum.messages import BackendLost
+from nutmegdrum.logs import log_change
+from nutmegdrum.messages import BackendLost, LossKind
 from nutmegdrum.recovery_queue import RecoveryQueue, SleepFunction
+from nutmegdrum.resends import Resends
+from nutmegdrum.retries import Resend
 from nutmegdrum.routing_query import Choice, Routing
 from nutmegdrum.session import Attempt, Session
 from nutmegdrum.settings import StreamSettings
@@ -41,8 +44,10 @@
 
     Parameters
     ----------
+    resends : Resends
+        Allows or refuses to send a request again.
     sleep : callable
-        Sleeps between two queries to routing.
+        Sleeps between two queries to routing or to the retry budget.
     is_cut_off : callable
         Returns whether other entry VMs reach a model's backend servers though this one does not.
     """
@@ -54,6 +59,7 @@
         protocol: BackendProtocol,
         routing: Routing,
         recovery_queue: RecoveryQueue,
+        resends: Resends,
         attempts: Attempts,
         sleep: SleepFunction,
         is_cut_off: Callable[[ModelName], bool] = lambda model: False,
@@ -64,6 +70,7 @@
         self._protocol = protocol
         self._routing = routing
         self._recovery_queue = recovery_queue
+        self._resends = resends
         self._attempts = attempts
         self._sleep = sleep
 
@@ -75,11 +82,22 @@
         Refusal
             If the session cannot continue.
         """
+        try:
+            self._begin(session)
+        except v.Refusal as refusal:
+            refusal.sent = session.stream.sent
+            raise
+
+    def _begin(self, session: Session) -> None:
         stream = session.stream
         is_recovery = stream.is_recovery
         self._attempts.report_loss(session)
         if is_recovery:
             self._await_recovery_slot(session)
+        elif stream.attempts >= MAX_REJECTIONS:
+            raise _rejected_refusal(stream)
+        if stream.sent and not stream.may_send_again:
+            self._await_resend(session, is_recovery)
         isolated, choice = self._choose(session, is_recovery)
         with session.lock:
             if session.ended:
@@ -95,9 +113,12 @@
         try:
             source = self._protocol.open(choice.backend, call, int(self._cfg.connect_timeout))
         except BackendLost as loss:
+            if loss.sent and loss.kind is not LossKind.REFUSED:
+                self._on_sent(stream, is_recovery)
             with session.lock:
                 self._attempts.lose(session, attempt, loss)
             return
+        self._on_sent(stream, is_recovery)
         with session.lock:
             attempt.source = source
             if session.attempt is attempt:
@@ -117,6 +138,37 @@
         ):
             raise _recovery_refusal(v.RETRY_BUDGET_SPENT)
 
+    def _await_resend(self, session: Session, is_recovery: bool) -> None:
+        """Wait for the retry budget; a request that has not begun is refused at once."""
+        stream = session.stream
+        model = stream.req.model
+        if is_recovery:
+            deadline = self._deadline(session)
+            stream.may_send_again = self._resends.wait(
+                model, Resend.RECOVERY, deadline, self._sleep, lambda: session.ended
+            )
+            if session.ended:
+                raise v.Refusal(v.CANCELLED, v.Verdict.MAY_HAVE_RUN)
+            if not stream.may_send_again:
+                raise _recovery_refusal(v.RETRY_BUDGET_SPENT)
+            return
+        stream.may_send_again = self._resends.take(model, Resend.RETRY)
+        if not stream.may_send_again:
+            raise v.Refusal(v.RETRY_BUDGET_SPENT, v.Verdict.NOT_RUN, RETRY_AFTER_MS)
+
+    def _on_sent(self, stream: Stream, is_recovery: bool) -> None:
+        if stream.sent:
+            reached = [loss.kind for loss in stream.losses if loss.kind is not LossKind.REFUSED]
+            log_change(
+                "generation-sent-again",
+                generation=stream.generation,
+                attempt=stream.attempt,
+                backend=stream.backend,
+                after=reached[-1].value if reached else "takeover",
+                resend=(Resend.RECOVERY if is_recovery else Resend.RETRY).value,
+            )
+        stream.on_sent()
+
     def _reaches_no_server(self, session: Session, deadline: ElapsedMs) -> bool:
         stream = session.stream
         if stream.unreached_in_row >= MAX_REJECTIONS and self._is_cut_off(stream.req.model):
@@ -131,12 +183,9 @@
         """Return whether the attempt is isolated, and its backend server and version.
 
         A recovery polls until its deadline, from time to time without its own exclusions. A
-        request that has not begun is refused at once if no backend server is eligible or too many
-        have rejected it.
+        request that has not begun is refused at once if no backend server is eligible.
         """
         stream = session.stream
-        if not is_recovery and stream.attempts >= MAX_REJECTIONS:
-            raise _rejected_refusal(stream)
         deadline = self._deadline(session)
         shared_ms = int((1 - ISOLATION_SHARE) * int(self._cfg.recovery_deadline))
         no_backend_count = 0
--- a/packages/kernel/src/nutmegdrum/completion_handler.py
+++ b/packages/kernel/src/nutmegdrum/completion_handler.py
@@ -66,7 +66,9 @@
 
         def own() -> Response | StreamedResponse:
             last_event_id = req.headers.get(LAST_EVENT_HEADER, "")
-            answer = self._generations.start(workspace, generation_req, last_event_id)
+            answer = self._generations.start(
+                workspace, generation_req, last_event_id, req.passed_on
+            )
             return self._stream(answer, req) if parsed.stream else self._complete(answer)
 
         return self._passing_on.answer(parsed.model, req, own)
--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -31,6 +31,7 @@
 from nutmegdrum.queries import ClaimKnown, ClaimQuery, decode_query_answer, encode_query
 from nutmegdrum.rate_limits import KnownLimits
 from nutmegdrum.reach import ServiceReach
+from nutmegdrum.resends import Resends
 from nutmegdrum.retries import RetryBudget
 from nutmegdrum.routing import Router
 from nutmegdrum.rpc import RpcClient
@@ -127,6 +128,7 @@
         routing = GuardedRouting(LimitedRouting(self.router, self._permits), self.guard)
         budget = RetryBudget(clock, rng, ResendRequests(cfg.vm.id, self.state.request_permit))
         budget.set_entry_vms(len(cfg.entry_vms))
+        resends = Resends(budget, self.router.service_of)
         reach = ServiceReach(clock)
         self.streaming = Streaming(
             cfg,
@@ -139,6 +141,7 @@
             self.admission,
             self.guard,
             self.watch,
+            resends,
             reach,
         )
         self.generations = self.streaming.generations
@@ -154,7 +157,7 @@
         sender = HttpPlainSender(clock, self._on_backend_answer, self._exchanges)
         self.plain = PlainHandler(cfg, clock, routing, self.guard, claims, budget, sender)
         self.passing_on = PassingOn(
-            cfg.vm.id, clock, rng, _longest_silence(cfg), reach, self._exchanges
+            cfg.vm.id, clock, rng, _longest_silence(cfg), reach, resends, self._exchanges
         )
         self.heartbeater = Heartbeater(
             cfg,
--- a/packages/kernel/src/nutmegdrum/gateway.py
+++ b/packages/kernel/src/nutmegdrum/gateway.py
@@ -12,7 +12,7 @@
 from nutmegdrum import metrics
 from nutmegdrum.admission import AdmissionRequest
 from nutmegdrum.completion_handler import CompletionHandler, count_refusal
-from nutmegdrum.peer_exchange import CallerRequest
+from nutmegdrum.peer_exchange import PASSED_ON_HEADER, SENT_HEADER, CallerRequest
 from nutmegdrum.problems import problem_headers, problem_of
 from nutmegdrum.settings import WorkspaceSettings
 from nutmegdrum.workspaces import Workspaces
@@ -54,7 +54,10 @@
         try:
             return self._answer(environ, start_response)
         except v.Refusal as refusal:
-            return _refuse(refusal).send(start_response)
+            answer = _refuse(refusal)
+            if refusal.sent and PASSED_ON_HEADER in request_headers(environ):
+                answer.headers.append((SENT_HEADER, "1"))
+            return answer.send(start_response)
 
     def _answer(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         headers = request_headers(environ)
--- a/packages/kernel/src/nutmegdrum/generations.py
+++ b/packages/kernel/src/nutmegdrum/generations.py
@@ -33,6 +33,7 @@
 from nutmegdrum.messages import GenerationRequest
 from nutmegdrum.recovery_queue import SleepFunction
 from nutmegdrum.relay import Relay
+from nutmegdrum.resends import Resends
 from nutmegdrum.session import ReadBatch, Session, finish_of
 from nutmegdrum.sessions import Sessions
 from nutmegdrum.settings import StreamSettings, WorkspaceSettings
@@ -60,6 +61,8 @@
 
     Parameters
     ----------
+    resends : Resends
+        Retry budget, to which new generations are counted.
     rng : Random
         Source of ids and epochs; `random.SystemRandom` outside of tests.
     """
@@ -74,6 +77,7 @@
         reader: JournalReader,
         sender: JournalSender,
         choice: HolderChoice,
+        resends: Resends,
         rng: Random,
         sleep: SleepFunction,
         vm: VmId,
@@ -86,16 +90,26 @@
         self._reader = reader
         self._sender = sender
         self._choice = choice
+        self._resends = resends
         self._rng = rng
         self._sleep = sleep
         self._vm = vm
         self._locks = [threading.Lock() for _ in range(_LOCK_STRIPES)]
 
     def start(
-        self, workspace: WorkspaceSettings, req: GenerationRequest, last_event_id: str
+        self,
+        workspace: WorkspaceSettings,
+        req: GenerationRequest,
+        last_event_id: str,
+        passed_on: bool = False,
     ) -> Answer:
         """Start a generation, or continue the one that the key or `last_event_id` refers to.
 
+        Parameters
+        ----------
+        passed_on : bool
+            Whether another entry VM has passed the request on, and counts it.
+
         Raises
         ------
         Refusal
@@ -104,23 +118,25 @@
         admission_req = admission_request(req)._replace(resumed=bool(last_event_id))
         ticket = self._admission.admit(admission_req, self._clock.elapsed_ms())
         try:
-            answer = self._answer(workspace.id, req, last_event_id)
+            answer = self._answer(workspace.id, req, last_event_id, passed_on)
         except BaseException:
             self._admission.release(ticket)
             raise
         return answer._replace(items=self._read_with_ticket(ticket, answer.items))
 
-    def _answer(self, workspace: WorkspaceId, req: GenerationRequest, last_event_id: str) -> Answer:
+    def _answer(
+        self, workspace: WorkspaceId, req: GenerationRequest, last_event_id: str, passed_on: bool
+    ) -> Answer:
         if last_event_id:
             generation, position = parse_event_id(last_event_id)
             session = self.resume(generation, workspace, position)
             return self._answer_from(session, position.next_index)
         if req.key:
-            return self._join_or_start(req)
+            return self._join_or_start(req, passed_on)
         holders = self._choice.choose(self._cfg.journal_copies, self._sender.down())
         generation = make_generation_id(self._rng, holders)
         epoch = next_epoch(Epoch(0), self._rng)
-        return self._answer_from(self._begin(req, generation, epoch, holders), 0)
+        return self._answer_from(self._begin(req, generation, epoch, holders, passed_on), 0)
 
     def _read_with_ticket(self, ticket: Ticket, items: Iterator[ReadBatch]) -> Items:
         used = ticket.request.tokens - ticket.request.answer_tokens
@@ -148,8 +164,15 @@
             self._sessions.leave(session)
 
     def _begin(
-        self, req: GenerationRequest, generation: GenerationId, epoch: Epoch, holders: list[VmId]
+        self,
+        req: GenerationRequest,
+        generation: GenerationId,
+        epoch: Epoch,
+        holders: list[VmId],
+        passed_on: bool,
     ) -> Session:
+        if not passed_on:
+            self._resends.on_request(req.model)
         head = _new_head(req, epoch)
         stream = Stream(req, generation, epoch, self._cfg.max_attempts)
         return self._add(Session(stream, head, holders, self._clock))
@@ -161,7 +184,7 @@
             self._sender.begin(session.journalled, others[: self._cfg.journal_copies])
         return session
 
-    def _join_or_start(self, req: GenerationRequest) -> Answer:
+    def _join_or_start(self, req: GenerationRequest, passed_on: bool) -> Answer:
         """Start a generation unless one is bound to its key; the VMs ranked by key decide."""
         count = self._cfg.journal_copies + 1
         down = self._sender.down()
@@ -174,7 +197,8 @@
                 epoch = next_epoch(Epoch(0), self._rng)
                 known = self._reader.claim_key(generation, req, _new_head(req, epoch), epoch, count)
             if known is None:
-                return self._answer_from(self._begin(req, generation, epoch, holders), 0)
+                session = self._begin(req, generation, epoch, holders, passed_on)
+                return self._answer_from(session, 0)
         return self._join(req, known)
 
     def _join(self, req: GenerationRequest, known: StreamCopy) -> Answer:
@@ -243,6 +267,7 @@
             version=takeover.head.version,
             tokens=takeover.tokens,
             finish=finish_of(takeover.finish_reason, len(takeover.tokens)),
+            taken_over=True,
         )
         session = Session(
             stream, takeover.head, takeover.holders, self._clock, len(takeover.tokens)
--- a/packages/kernel/src/nutmegdrum/idempotent_calls.py
+++ b/packages/kernel/src/nutmegdrum/idempotent_calls.py
@@ -8,6 +8,7 @@
 from nutmegdrum import metrics
 from nutmegdrum.crashguard import CrashGuard
 from nutmegdrum.messages import BackendLost
+from nutmegdrum.peer_exchange import PASSED_ON_HEADER
 from nutmegdrum.plain_http import PlainCall, PlainReply, PlainSender
 from nutmegdrum.retries import Resend, RetryBudget
 from nutmegdrum.routing_query import Choice, RouteQuery, Routing
@@ -60,10 +61,11 @@
         deadline_ms = self._clock.elapsed_ms() + self._cfg.claims.call_timeout
         excluded: frozenset[BackendId] = frozenset()
         last: PlainReply | None = None
-        sent = False
+        sent = may_send_again = False
         verdict = Verdict.NOT_RUN
         service = ServiceName(query.model)
-        self._budget.on_request(service)
+        if PASSED_ON_HEADER not in call.headers:
+            self._budget.on_request(service)
         for attempt in range(1, MAX_ATTEMPTS + 1):
             choice = self._routing.choose(msgspec.structs.replace(query, excluded=excluded))
             if isinstance(choice, Reason):
@@ -71,18 +73,21 @@
             excluded |= {choice.backend.id}
             try:
                 last = self._send(choice, call._replace(attempt=attempt), deadline_ms)
-                sent = True
+                sent, may_send_again = True, False
                 self._guard.on_attempt_end(fingerprint, cleared=True)
                 if last.status not in RETRYABLE_STATUSES:
                     return last
             except BackendLost as exc:
                 if exc.sent:
-                    sent = True
+                    sent, may_send_again = True, False
                     verdict = Verdict.MAY_HAVE_RUN
                 self._guard.on_loss(fingerprint, exc.backend, exc.kind)
             if self._clock.elapsed_ms() >= deadline_ms:
                 return _reply_or_refuse(last, BACKEND_LOST, verdict)
-            if sent and not self._budget.take(service, Resend.RETRY):
+            if attempt == MAX_ATTEMPTS:
+                break
+            may_send_again = may_send_again or not sent or self._budget.take(service, Resend.RETRY)
+            if not may_send_again:
                 metrics.RETRIES.labels("budget-spent").inc()
                 return _reply_or_refuse(last, RETRY_BUDGET_SPENT, verdict)
             metrics.RETRIES.labels("made").inc()
--- a/packages/kernel/src/nutmegdrum/passing_on.py
+++ b/packages/kernel/src/nutmegdrum/passing_on.py
@@ -18,6 +18,7 @@
 from nutmegdrum.peer_exchange import (
     LAST_EVENT_HEADER,
     CallerRequest,
+    NotServed,
     PeerAnswer,
     PeerExchange,
     lost_answer,
@@ -25,6 +26,8 @@
 from nutmegdrum.plain_http import OWN_HEADERS
 from nutmegdrum.problems import problem_of
 from nutmegdrum.reach import ServiceReach
+from nutmegdrum.resends import Resends
+from nutmegdrum.retries import Resend
 from nutmegdrum.units import Duration
 from nutmegdrum.wsgi import Response, StreamedResponse
 
@@ -50,6 +53,8 @@
         Longest wait for another VM to send anything.
     reach : ServiceReach
         Record of the services that this VM cannot reach.
+    resends : Resends
+        Retry budget, to which requests are counted that this VM only passes on.
     exchanges : OpenExchanges or None
         Gets the exchanges in progress, so that a stop can end them.
 
@@ -66,12 +71,14 @@
         rng: random.Random,
         timeout: Duration,
         reach: ServiceReach,
+        resends: Resends,
         exchanges: OpenExchanges | None = None,
     ):
         self.peers: Sequence[PeerAddress] = ()
         self._exchange = PeerExchange(vm, clock, timeout, exchanges or OpenExchanges())
         self._rng = rng
         self._reach = reach
+        self._resends = resends
 
     def takes_requests(self) -> bool:
         """Return whether this VM can take requests from others."""
@@ -89,17 +96,19 @@
             may have run at another VM, but was not answered.
         """
         if not req.passed_on and not self._reach.takes_request(service):
-            answer = self._pass_on(req)
+            answer = self._pass_on(service, req)
             if answer is None:
                 # A try of its own would only take permits from the VMs that reach the servers.
                 raise Refusal(NO_BACKEND, Verdict.NOT_RUN, RETRY_AFTER_MS)
+            if not req.resumes:
+                self._resends.on_request(service)
             return answer
         try:
             answer = own()
         except Refusal as refusal:
             if req.passed_on or not _reached_no_server(refusal, req):
                 raise
-            passed_on = self._pass_on(req)
+            passed_on = self._pass_on(service, req)
             if passed_on is None:
                 raise
             self._reach.on_cut_off(service)
@@ -117,22 +126,22 @@
         if req.passed_on or refusal.why is not NO_BACKEND:
             return None
         rest = req.after_event(event_id)
-        answer = self._resumed(rest)
+        answer = self._resumed(service, rest)
         if answer is None:
             return None
         self._reach.on_cut_off(service)
-        return self._relay(rest, answer)
+        return self._relay(service, rest, answer)
 
-    def _pass_on(self, req: CallerRequest) -> Response | StreamedResponse | None:
-        answer = self._send_to_any(req)
+    def _pass_on(self, service: str, req: CallerRequest) -> Response | StreamedResponse | None:
+        answer = self._send_to_any(service, req)
         if answer is None:
             return None
         headers = [(n, v) for n, v in answer.headers.items() if n.lower() not in OWN_HEADERS]
         if answer.is_stream:
-            return StreamedResponse(answer.status, headers, self._relay(req, answer))
+            return StreamedResponse(answer.status, headers, self._relay(service, req, answer))
         return Response(answer.status, answer.read(), headers)
 
-    def _relay(self, req: CallerRequest, answer: PeerAnswer) -> Iterator[bytes]:
+    def _relay(self, service: str, req: CallerRequest, answer: PeerAnswer) -> Iterator[bytes]:
         """Yield the events of a stream; if its VM is lost, resume it at another one."""
         last_id = req.headers.get(LAST_EVENT_HEADER, "")
         for _ in range(1 + MAX_RESUMPTIONS):
@@ -141,7 +150,7 @@
             if reader.ended:
                 return
             last_id = reader.last_id
-            resumed = self._resumed(req.after_event(last_id)) if last_id else None
+            resumed = self._resumed(service, req.after_event(last_id)) if last_id else None
             if resumed is None:
                 break
             answer = resumed
@@ -149,9 +158,9 @@
         lost.retry_after_ms = RETRY_AFTER_MS
         yield sse.failure(problem_of(lost))
 
-    def _resumed(self, req: CallerRequest) -> PeerAnswer | None:
+    def _resumed(self, service: str, req: CallerRequest) -> PeerAnswer | None:
         try:
-            answer = self._send_to_any(req)
+            answer = self._send_to_any(service, req)
         except Refusal as refusal:
             log_change("stream-not-resumed", error=refusal.detail)
             return None
@@ -161,24 +170,31 @@
         answer.close()
         return None
 
-    def _send_to_any(self, req: CallerRequest) -> PeerAnswer | None:
+    def _send_to_any(self, service: str, req: CallerRequest) -> PeerAnswer | None:
         """Return the first answer that is no refusal of a request that has not run.
 
+        After backend servers of one VM have rejected the request, the next one's send is a resend.
+        A VM that resumes a generation draws on its own retry budget.
+
         Raises
         ------
         Refusal
             If the request may have run, but no answer came.
         """
         peers = self.peers
+        sent = False
         for peer in self._rng.sample(peers, min(MAX_TRIED, len(peers))):
+            if sent and not self._resends.take(service, Resend.RETRY):
+                return None
             answer = self._exchange.send(peer, req)
-            if answer is not None:
+            if isinstance(answer, PeerAnswer):
                 return answer
+            sent = sent or (answer is NotServed.REJECTED and not req.resumes)
         return None
 
 
 def _reached_no_server(refusal: Refusal, req: CallerRequest) -> bool:
     """Return whether a refused request can be passed on as one that reached no backend server."""
     if refusal.verdict is Verdict.NOT_RUN:
-        return refusal.why in UNREACHED
-    return refusal.why is NO_BACKEND and req.resumable and LAST_EVENT_HEADER in req.headers
+        return refusal.why in UNREACHED and not refusal.sent
+    return refusal.why is NO_BACKEND and req.resumes
--- a/packages/kernel/src/nutmegdrum/peer_exchange.py
+++ b/packages/kernel/src/nutmegdrum/peer_exchange.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Iterator, Mapping
+from enum import Enum
 from http.client import HTTPException
 from typing import NamedTuple
 
@@ -26,6 +27,9 @@
 WAITED_HEADER = "nutmegdrum-waited-ms"
 """Header with the time in ms that the other entry VM has spent on the request."""
 
+SENT_HEADER = "nutmegdrum-sent"
+"""Header of the refusal of a passed-on request that backend servers got and rejected."""
+
 LAST_EVENT_HEADER = "last-event-id"
 
 CONNECT_TIMEOUT_S = 0.3
@@ -33,6 +37,13 @@
 _MS_PER_S = 1_000
 
 
+class NotServed(Enum):
+    """What became of a request that has not run at another entry VM."""
+
+    NOT_SENT = "not-sent"
+    REJECTED = "rejected"
+
+
 class CallerRequest(NamedTuple):
     """Request as its caller sent it.
 
@@ -60,6 +71,11 @@
         """Return whether another entry VM has passed it on."""
         return PASSED_ON_HEADER in self.headers
 
+    @property
+    def resumes(self) -> bool:
+        """Return whether it resumes a generation."""
+        return self.resumable and LAST_EVENT_HEADER in self.headers
+
     @property
     def waited_ms(self) -> int:
         """Return the time in ms that another entry VM has spent on it."""
@@ -156,8 +172,8 @@
         self._clock = clock
         self._timeout_s = timeout / _MS_PER_S
 
-    def send(self, peer: PeerAddress, req: CallerRequest) -> PeerAnswer | None:
-        """Return the VM's answer; None if it was not reached, or refuses the request as not run.
+    def send(self, peer: PeerAddress, req: CallerRequest) -> PeerAnswer | NotServed:
+        """Return the VM's answer, unless it was not reached or refuses the request as not run.
 
         Raises
         ------
@@ -169,7 +185,7 @@
         except (HTTPError, OSError) as exc:
             metrics.PASSED_ON.labels("not-sent").inc()
             log_change("peer-not-reached", peer=peer.vm, error=str(exc))
-            return None
+            return NotServed.NOT_SENT
         sock = conn.sock
         self._exchanges.add(sock)
         try:
@@ -184,7 +200,7 @@
         if answer.headers.get(VERDICT_HEADER) == Verdict.NOT_RUN.value:
             metrics.PASSED_ON.labels("refused").inc()
             answer.close()
-            return None
+            return NotServed.REJECTED if SENT_HEADER in answer.headers else NotServed.NOT_SENT
         metrics.PASSED_ON.labels("answered").inc()
         log_change("request-passed-on", peer=peer.vm, status=answer.status)
         return answer
--- a/packages/kernel/src/nutmegdrum/retries.py
+++ b/packages/kernel/src/nutmegdrum/retries.py
@@ -13,7 +13,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from nutmegdrum_coord.clock import Clock
+from nutmegdrum_coord.clock import Clock, ElapsedMs
 from nutmegdrum_coord.ids import ServiceName
 from prometheus_client import Counter
 
@@ -24,7 +24,10 @@
 """Time in which resends and requests are counted."""
 
 LEADER_RETRY = Duration(300)
-"""Time after an unanswered request in which the leader is not asked again."""
+"""Time after an unanswered or denied request in which the leader is not asked again."""
+
+POLL = Duration(50)
+"""Interval at which one who waits for a resend asks again."""
 
 RETRY_SHARE = 0.5
 """Share of the budget that retries may use; the rest is left to recoveries."""
@@ -167,6 +170,7 @@
         self._lock = threading.Lock()
         self._entry_vms = 1
         self._leader_silent_until_ms = 0
+        self._denied_until_ms: dict[tuple[ServiceName, Resend], int] = {}
         self._services: dict[ServiceName, _ServiceBudget] = {}
 
     def set_entry_vms(self, count: int) -> None:
@@ -183,12 +187,38 @@
 
         May wait for the state leader's answer.
         """
-        granted = self._take_local(service, kind) or self._take_shared(service, kind)
-        RESENDS.labels(kind.value, "granted" if granted else "refused").inc()
-        if not granted:
-            log_change("resend_refused", service=service, resend=kind.value)
+        granted = self._try_take(service, kind)
+        _record(service, kind, granted)
         return granted
 
+    def wait(
+        self,
+        service: ServiceName,
+        kind: Resend,
+        deadline: ElapsedMs,
+        sleep: Callable[[float], object],
+        is_ended: Callable[[], bool] = lambda: False,
+    ) -> bool:
+        """Wait until a request may be sent again, and count it.
+
+        Return False if `deadline` passes first, or the request ends.
+
+        Parameters
+        ----------
+        sleep : callable
+            Sleeps for a number of seconds.
+        """
+        while not is_ended():
+            granted = self._try_take(service, kind)
+            if granted or self._clock.elapsed_ms() >= deadline:
+                _record(service, kind, granted)
+                return granted
+            sleep(POLL / _MS_PER_S)
+        return False
+
+    def _try_take(self, service: ServiceName, kind: Resend) -> bool:
+        return self._take_local(service, kind) or self._take_shared(service, kind)
+
     def _take_local(self, service: ServiceName, kind: Resend) -> bool:
         now_ms = self._clock.elapsed_ms()
         with self._lock:
@@ -197,9 +227,14 @@
             return counts.resends.add_up_to(allowed, now_ms)
 
     def _take_shared(self, service: ServiceName, kind: Resend) -> bool:
-        if self._clock.elapsed_ms() >= self._leader_silent_until_ms:
+        now_ms = self._clock.elapsed_ms()
+        if now_ms < self._denied_until_ms.get((service, kind), 0):
+            return False
+        if now_ms >= self._leader_silent_until_ms:
             granted = self._ask_leader(service, kind)
             if granted is not None:
+                if not granted:
+                    self._denied_until_ms[service, kind] = now_ms + int(LEADER_RETRY)
                 return granted
             self._leader_silent_until_ms = self._clock.elapsed_ms() + int(LEADER_RETRY)
         now_ms = self._clock.elapsed_ms()
@@ -209,3 +244,9 @@
 
     def _service(self, service: ServiceName) -> _ServiceBudget:
         return self._services.setdefault(service, _ServiceBudget(self._rng))
+
+
+def _record(service: ServiceName, kind: Resend, granted: bool) -> None:
+    RESENDS.labels(kind.value, "granted" if granted else "refused").inc()
+    if not granted:
+        log_change("resend_refused", service=service, resend=kind.value)
--- a/packages/kernel/src/nutmegdrum/routing.py
+++ b/packages/kernel/src/nutmegdrum/routing.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 
 from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import BackendId, ModelName, VersionName, VmId
+from nutmegdrum_coord.ids import BackendId, ModelName, ServiceName, VersionName, VmId
 from nutmegdrum_coord.verdict import NO_BACKEND, NOT_FOUND, OVERLOADED, Reason
 
 from nutmegdrum.backend_state import BackendState
@@ -108,6 +108,11 @@
         with self._lock:
             return self._states[backend].load()
 
+    def service_of(self, name: ModelName) -> ServiceName:
+        """Return the service that provides a model; a plain service's name stands for itself."""
+        model = self._models.get(name)
+        return model.service if model is not None else ServiceName(name)
+
     def choose(self, query: RouteQuery) -> Choice | Reason:
         """Return a backend server and version for the query, or the reason why there is none.
 
@@ -250,7 +255,7 @@
 
     def _eligible(self, query: RouteQuery, version: VersionName) -> list[BackendView]:
         model = self._models.get(query.model)
-        service = model.service if model is not None else query.model
+        service = self.service_of(query.model)
         required = LoadedVersion(query.model, version, query.adapter)
         usable = [b for b in self._backends.get(service, []) if self._usable(b, query)]
         loaded = [b for b in usable if required in b.loaded]
--- a/packages/kernel/src/nutmegdrum/streaming.py
+++ b/packages/kernel/src/nutmegdrum/streaming.py
@@ -20,6 +20,7 @@
 from nutmegdrum.recovery import RecoveryBudget
 from nutmegdrum.recovery_queue import RecoveryQueue
 from nutmegdrum.relay import Relay
+from nutmegdrum.resends import Resends
 from nutmegdrum.routing_query import Routing
 from nutmegdrum.rpc import RpcClient
 from nutmegdrum.sessions import Sessions
@@ -42,6 +43,8 @@
         Receives lost attempts, to find requests that crash backend servers.
     watch : VersionWatch
         Receives the outcomes of all attempts, to judge versions.
+    resends : Resends
+        Retry budget of the generations.
     reach : ServiceReach
         Tells from which models' backend servers this VM is cut off.
     """
@@ -58,6 +61,7 @@
         admission: Admission,
         guard: StreamGuard,
         watch: VersionWatch,
+        resends: Resends,
         reach: ServiceReach,
     ):
         streams = cfg.streams
@@ -76,6 +80,7 @@
             protocol,
             routing,
             recovery_queue,
+            resends,
             self._attempts,
             time.sleep,
             reach.is_cut_off,
@@ -93,6 +98,7 @@
             reader,
             self._sender,
             choice,
+            resends,
             rng,
             time.sleep,
             vm,
--- a/packages/kernel/src/nutmegdrum/streams.py
+++ b/packages/kernel/src/nutmegdrum/streams.py
@@ -59,9 +59,15 @@
         Version that produced `tokens`.
     tokens : sequence of str
         Tokens accepted by earlier owners.
+    taken_over : bool
+        Whether an earlier owner may have begun it.
 
     Attributes
     ----------
+    sent : bool
+        Whether a backend server may have got the request, from this owner or an earlier one.
+    may_send_again : bool
+        Whether the retry budget allows the next send.
     unreached_in_row : int
         Consecutive attempts without a connection to a backend server.
     """
@@ -75,6 +81,7 @@
         version: VersionName | None = None,
         tokens: Sequence[str] = (),
         finish: Finish | None = None,
+        taken_over: bool = False,
     ):
         self.req = req
         self.generation = generation
@@ -87,8 +94,11 @@
         self.unreached_in_row = 0
         self.losses: list[Loss] = []
         self.dropped = 0
+        self.sent = taken_over
+        self.may_send_again = False
         self.backend: BackendId | None = None
         self._max_attempts = max_attempts
+        self._taken_over = taken_over
         self._version = version
 
     @property
@@ -155,6 +165,11 @@
             priority=self.req.priority,
         )
 
+    def on_sent(self) -> None:
+        """Record that a backend server may have got the current attempt's call."""
+        self.sent = True
+        self.may_send_again = False
+
     def accept(self, attempt: int, items: Iterable[Token | Finish]) -> list[Token | Finish]:
         """Accept items of an attempt and return those that continue the token sequence.
 
@@ -204,7 +219,7 @@
 
         A request that backend servers have only rejected has not begun.
         """
-        return bool(self.tokens) or self.failures_in_row > 0
+        return self._taken_over or bool(self.tokens) or self.failures_in_row > 0
 
     def exhausted_reason(self) -> Reason | None:
         """Return the reason why no further attempt may start, or None if one may."""
--- a/packages/kernel/tests/test_attempt_starter.py
+++ b/packages/kernel/tests/test_attempt_starter.py
@@ -10,6 +10,9 @@
 from nutmegdrum_coord.clock import ManualClock
 from nutmegdrum_coord.verdict import NO_BACKEND, NOT_FOUND, OVERLOADED, Refusal, Verdict
 
+ALLOWING = SimpleNamespace(take=lambda *_: True, wait=lambda *_: True)
+"""Retry budget that allows every resend."""
+
 
 def refusal_of(why, is_recovery):
     """Return the refusal of a request for which routing returns `why`."""
@@ -20,14 +23,17 @@
         protocol=None,
         routing=SimpleNamespace(choose=lambda query: why),
         recovery_queue=SimpleNamespace(wait=lambda *_: True),
+        resends=ALLOWING,
         attempts=SimpleNamespace(report_loss=lambda session: None),
         sleep=lambda s: clock.advance(int(s * 1_000)),
     )
     stream = SimpleNamespace(
         is_recovery=is_recovery,
         attempts=int(is_recovery),
+        sent=is_recovery,
+        may_send_again=False,
         unreached_in_row=0,
-        req=SimpleNamespace(priority=None),
+        req=SimpleNamespace(model="none", priority=None),
         exhausted_reason=lambda: None,
         query=lambda **_: RouteQuery(model="none", workspace="w", prompt="p", generation="g"),
     )
@@ -71,6 +77,7 @@
             protocol=SimpleNamespace(open=self.open),
             routing=SimpleNamespace(choose=self.choose),
             recovery_queue=SimpleNamespace(wait=lambda *_: True),
+            resends=ALLOWING,
             attempts=SimpleNamespace(
                 report_loss=lambda session: None,
                 record_start=lambda session, attempt: None,
--- a/packages/kernel/tests/test_completion_handler.py
+++ b/packages/kernel/tests/test_completion_handler.py
@@ -17,12 +17,14 @@
     def test_time_that_another_vm_has_spent_counts(self, waited, left):
         started = []
 
-        def start(workspace, req, last_event_id):
+        def start(workspace, req, last_event_id, passed_on):
             started.append(req)
             raise Refusal(NO_BACKEND)
 
         clock = ManualClock()
-        passing_on = PassingOn("n1", clock, random.Random(1), Duration(1_000), ServiceReach(clock))
+        passing_on = PassingOn(
+            "n1", clock, random.Random(1), Duration(1_000), ServiceReach(clock), resends=None
+        )
         generations = SimpleNamespace(start=start)
         handler = CompletionHandler(generations, random.Random(1), None, passing_on)
         body = msgspec.json.encode({"model": "m", "prompt": "p", "deadline_ms": 900})
--- /dev/null
+++ b/packages/kernel/tests/test_gateway.py
@@ -0,0 +1,58 @@
+import io
+from hashlib import sha256
+from types import SimpleNamespace
+
+import pytest
+from nutmegdrum.gateway import Gateway
+from nutmegdrum.service_tally import ServiceTally
+from nutmegdrum.settings import WorkspaceSettings
+from nutmegdrum_coord.verdict import OVERLOADED, Refusal, Verdict
+
+
+def headers_of_refusal(sent, **environ):
+    """Return the headers of a generation's refusal, by lower-case name."""
+    refusal = Refusal(OVERLOADED, Verdict.NOT_RUN, 1_000)
+    refusal.sent = sent
+
+    def refuse(*args):
+        raise refusal
+
+    workspace = WorkspaceSettings(id="w", key_sha256=sha256(b"k").hexdigest())
+    entry = SimpleNamespace(
+        cfg=SimpleNamespace(workspaces=[workspace]),
+        clock=SimpleNamespace(elapsed_ms=lambda: 0),
+        generations=SimpleNamespace(start=refuse),
+        passing_on=SimpleNamespace(answer=lambda service, req, own: own()),
+        rng=SimpleNamespace(getrandbits=lambda bits: 1),
+        tally=ServiceTally(),
+    )
+    body = b'{"model": "m", "prompt": "p"}'
+    sent_headers = {}
+    answer = Gateway(entry)(
+        {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": "/v1/completions",
+            "HTTP_AUTHORIZATION": "Bearer k",
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+            **environ,
+        },
+        lambda status, headers: sent_headers.update(headers),
+    )
+    assert b"overloaded" in b"".join(answer)
+    return {name.lower(): value for name, value in sent_headers.items()}
+
+
+class TestRefusalOfPassedOnRequest:
+    @pytest.mark.parametrize(
+        ("sent", "environ", "marked"),
+        [
+            (True, {"HTTP_NUTMEGDRUM_PASSED_ON": "n2"}, True),
+            (False, {"HTTP_NUTMEGDRUM_PASSED_ON": "n2"}, False),
+            (True, {}, False),
+        ],
+    )
+    def test_tells_the_other_vm_whether_servers_got_it(self, sent, environ, marked):
+        headers = headers_of_refusal(sent, **environ)
+        assert ("nutmegdrum-sent" in headers) is marked
+        assert headers["nutmegdrum-verdict"] == "not-run"
--- a/packages/kernel/tests/test_passing_on.py
+++ b/packages/kernel/tests/test_passing_on.py
@@ -9,6 +9,7 @@
 from nutmegdrum.peer_directory import PeerAddress
 from nutmegdrum.peer_exchange import CallerRequest
 from nutmegdrum.reach import RETRY_PERIOD, ServiceReach
+from nutmegdrum.retries import Resend
 from nutmegdrum.sse import DONE
 from nutmegdrum.units import Address, Duration
 from nutmegdrum.wsgi import Response
@@ -52,10 +53,21 @@
             random.Random(1),
             Duration(2_000),
             ServiceReach(self.clock),
+            self,
             self.exchanges,
         )
         self.passing_on.peers = [PeerAddress(f"n{a}", a) for a in addresses]
         self.tries = 0
+        self.requests = []
+        self.resends = []
+        self.may_resend = True
+
+    def on_request(self, service):
+        self.requests.append(service)
+
+    def take(self, service, kind):
+        self.resends.append((service, kind))
+        return self.may_resend
 
     def call(self, refusal=REFUSED, resumable=False, service="svc", **headers):
         """Answer a call that this VM refuses; `None` if it is refused in the end too."""
@@ -219,6 +231,57 @@
         assert world.passing_on.takes_requests()
 
 
+class TestRetryBudget:
+    def test_a_request_that_servers_of_one_vm_rejected_is_sent_again_as_a_resend(self, start):
+        peers = [start(rejected) for _ in range(2)]
+        world = World(*(peer.address for peer in peers))
+        assert world.call() is None
+        assert [len(peer.received) for peer in peers] == [1, 1]
+        assert world.resends == [("svc", Resend.RETRY)]
+
+    def test_without_budget_it_is_not_sent_again(self, start):
+        peers = [start(rejected) for _ in range(2)]
+        world = World(*(peer.address for peer in peers))
+        world.may_resend = False
+        assert world.call() is None
+        assert sum(len(peer.received) for peer in peers) == 1
+
+    @pytest.mark.parametrize("down", [True, False])
+    def test_a_request_that_no_server_got_costs_nothing(self, start, down):
+        peer = start(lambda received: received.answer(503, Nutmegdrum_Verdict="not-run"))
+        world = World(peer.address, CLOSED if down else peer.address)
+        assert world.call() is None
+        assert world.resends == []
+
+    def test_a_resumption_is_charged_by_the_vm_that_sends_it(self, start):
+        peers = [start(rejected) for _ in range(2)]
+        world = World(*(peer.address for peer in peers))
+        refusal = Refusal(NO_BACKEND, Verdict.MAY_HAVE_RUN)
+        assert world.call(refusal, resumable=True, **{"last-event-id": "3"}) is None
+        assert world.resends == []
+
+    def test_what_servers_have_rejected_here_is_not_passed_on(self, start):
+        peer = start(lambda received: received.answer(201))
+        refusal = Refusal(RETRY_BUDGET_SPENT, Verdict.NOT_RUN)
+        refusal.sent = True
+        assert World(peer.address).call(refusal) is None
+        assert peer.received == []
+
+    def test_a_request_that_is_passed_on_at_once_is_counted_here(self, start):
+        peer = start(lambda received: received.answer(201))
+        world = World(peer.address)
+        world.call()
+        assert world.requests == []
+        world.call()
+        assert world.requests == ["svc"]
+        world.call(resumable=True, **{"last-event-id": "3"})
+        assert (world.requests, world.tries) == (["svc"], 1)
+
+
+def rejected(received):
+    received.answer(503, Nutmegdrum_Verdict="not-run", Nutmegdrum_Sent="1")
+
+
 def stream(*numbers, end=True):
     """Return the script of an entry VM that sends the events `numbers`."""
 
--- a/packages/kernel/tests/test_plain.py
+++ b/packages/kernel/tests/test_plain.py
@@ -1,3 +1,4 @@
+import contextlib
 import random
 
 import pytest
@@ -74,6 +75,7 @@
         self.runs = []
         self.refusing = set()
         self.breaking = set()
+        self.status = 201
         self.before_send = lambda: None
 
     def send(self, backend, call, may_send, connect_timeout_ms, timeout_ms):
@@ -85,13 +87,13 @@
         self.runs.append((backend.id, call))
         if backend.id in self.breaking:
             raise BackendLost(backend.id, LossKind.RESET, True)
-        return PlainReply(201, {"X-Run": str(len(self.runs))}, b"booked")
+        return PlainReply(self.status, {"X-Run": str(len(self.runs))}, b"booked")
 
 
 class Vm:
     """Plain-request handler of one entry VM, with shared state and backend servers."""
 
-    def __init__(self, state=None, sender=None, name="e1"):
+    def __init__(self, state=None, sender=None, name="e1", budget=None):
         self.cfg: Settings = parse_settings(SETTINGS)
         self.clock = ManualClock()
         self.state = state or State()
@@ -109,15 +111,15 @@
         guard = CrashGuard(VmId(name), self.clock, self.state.propose, lambda backend: True)
         routing = GuardedRouting(router, guard)
         self.handler = PlainHandler(
-            self.cfg, self.clock, routing, guard, writer, sender=self.sender
+            self.cfg, self.clock, routing, guard, writer, budget, self.sender
         )
 
     def _ask_entry_vms(self, key):
         others = [vm for vm in self.state.vms if vm is not self]
         return [vm.handler.sent_key_record(key) if vm.answers else None for vm in others]
 
-    def call(self, method="POST", body=b"farm 7", key="k1"):
-        headers = {"Idempotency-Key": key} if key else {}
+    def call(self, method="POST", body=b"farm 7", key="k1", headers=None):
+        headers = {**(headers or {}), **({"Idempotency-Key": key} if key else {})}
         route = self.handler.find_route("/desk/bookings")
         workspace = WorkspaceId("w")
         return self.handler.handle(workspace, route, method, "/desk/bookings", headers, body)
@@ -300,3 +302,56 @@
         vm.sender.breaking = {"b1", "b2"}
         assert vm.refusal(method="GET").verdict is Verdict.MAY_HAVE_RUN
         assert len(vm.sender.runs) == 2
+
+
+class Budget:
+    """Fake of the retry budget, which allows `left` resends."""
+
+    def __init__(self, left):
+        self.left = left
+        self.requests = []
+        self.asked = 0
+
+    def on_request(self, service):
+        self.requests.append(service)
+
+    def take(self, service, kind):
+        self.asked += 1
+        self.left -= 1
+        return self.left >= 0
+
+
+class TestRetryBudget:
+    @pytest.mark.parametrize("left", [0, 1])
+    def test_an_idempotent_call_is_sent_again_only_within_the_budget(self, left):
+        vm = Vm(budget=Budget(left))
+        vm.sender.status = 503
+        assert vm.call(method="GET").status == 503
+        assert len(vm.sender.runs) == 1 + left
+
+    def test_refused_connections_cost_nothing(self):
+        budget = Budget(9)
+        vm = Vm(budget=budget)
+        vm.sender.status = 503
+        vm.sender.before_send = lambda: vm.sender.refusing.update({"b1", "b2"})
+        assert vm.call(method="GET").status == 503
+        assert (len(vm.sender.runs), budget.asked) == (1, 1)
+        assert vm.refusal(method="GET").verdict is Verdict.NOT_RUN
+        assert budget.asked == 1
+
+    def test_a_call_is_counted_by_the_vm_that_got_it_from_the_caller(self):
+        budget = Budget(9)
+        vm = Vm(budget=budget)
+        vm.call(method="GET")
+        vm.call(method="GET", headers={"nutmegdrum-passed-on": "e2"})
+        assert budget.requests == ["desk"]
+
+    @pytest.mark.parametrize("breaks", [True, False])
+    def test_a_non_idempotent_call_is_never_sent_again(self, breaks):
+        vm = Vm(budget=Budget(9))
+        vm.sender.status = 503
+        vm.sender.breaking = {"b1", "b2"} if breaks else set()
+        for _ in range(3):
+            with contextlib.suppress(Refusal):
+                vm.call()
+        assert len(vm.sender.runs) == 1
--- a/packages/kernel/tests/test_routing.py
+++ b/packages/kernel/tests/test_routing.py
@@ -175,3 +175,9 @@
         routes = self.routes()
         routes.set([backend("b1")], self.SHARE_PPM)
         assert set(routes.versions(1_000)) == {"1"}
+
+
+class TestService:
+    def test_a_model_belongs_to_its_service_and_a_plain_service_is_its_own(self):
+        router = Routes([backend("b")]).router
+        assert [router.service_of(name) for name in ("m", "desk")] == ["llm", "desk"]
