Do not take a silence of 1.5 s at an engine for its loss

What callers saw: at the product's gateway, each engine that was silent for 0.6 s or more lost its streams: every one read its prompt again at another engine; when all were silent at once, streams used up their attempts.

Cause: `min_token_timeout` was 600 ms, the first token's time-out 1,200 ms and that of a recovery 500 ms, all shorter than the silence of a sound server. A time-out of one stream gave all others on the engine 600 ms.

Evidence: test_silent_engines plays streams over scripted engines in model time, with the real Attempts, AttemptStarter and Router. Failed before: ten of twelve of TestSoundSilentEngines (one silent, all at once, in series, the only engine), TestAfterAFalseAlarm.test_new_streams and TestDeadEngine.test_recovery_outlasts_a_silence_of_the_next_engine; the tests of reset, dark and hung engines passed before and after.

Why it works: no time-out is shorter than a tolerated silence (1.8 s) after the engine's usual gap or time to first token, also after an alarm. Silence for good is still given up after 2 s (3 s for a first token of unknown pace), which leaves 3 s of the 5 s target.

test_adaptive_timeouts: the four tests of the factors keep their bounds, three with a minimum of 600 ms in the test; the peak's decay is checked at 120 s, as the usual gap is now added to the minimum. The shortest time-out after an alarm is 900 ms there (was 600 ms: the usual gap of 300 ms alone is half of that). A first token usually due after 500 ms was given up at 1,500 ms, exactly within a silence of 1.5 s; it is 2,300 ms now, and the factor is tested with 950 ms. A recovery with 3,000 ms left got 1,500 ms; it gets 1,800 ms, and half of 4,400 ms shows the share.

--- a/packages/kernel/src/nutmegdrum/adaptive_timeouts.py
+++ b/packages/kernel/src/nutmegdrum/adaptive_timeouts.py
@@ -1,7 +1,8 @@
 """Adaptive time-outs for detecting lost backend servers.
 
-A busy backend server is slow, not dead. The time-out of each backend server therefore follows its
-longest recent gaps between tokens and its load, within bounds.
+A busy backend server is slow, not dead, and a sound one may be silent for a while and go on. The
+time-out of each backend server therefore follows its longest recent gaps between tokens and its
+load, and is never shorter than a tolerated silence after its usual gap.
 """
 
 import math
@@ -17,6 +18,9 @@
 FIRST_TOKEN_FACTOR = 3.0
 """Time-out of the first token as a multiple of the recent peak time to first token."""
 
+LONG_GAP_MS = 150
+"""Shortest gap between tokens that is recorded, in ms."""
+
 PEAK_DECAY_MS = 15_000
 """Time constant with which a peak decays, in ms."""
 
@@ -26,9 +30,6 @@
 RECOVERY_SHARE = 0.5
 """Share of a recovery's remaining time that one attempt may take."""
 
-MIN_RECOVERY_TIMEOUT_MS = 500
-"""Shortest time-out of a recovery's first token, in ms."""
-
 
 class DecayingPeak:
     """Maximum of recent samples with exponential decay."""
@@ -114,10 +115,11 @@
         low, high = int(self._cfg.min_token_timeout), int(self._cfg.max_token_timeout)
         if stats is None:
             return high
+        usual = stats.gap.at(now_ms) * max(1.0, stats.load)
+        shortest = low + int(usual)
         if backend in self.timed_out:
-            return low
-        expected = GAP_FACTOR * stats.gap.at(now_ms) * max(1.0, stats.load)
-        return min(high, max(low, int(expected)))
+            return min(high, shortest)
+        return min(high, max(shortest, int(GAP_FACTOR * usual)))
 
     def first_timeout_ms(
         self, backend: BackendId, now_ms: ElapsedMs, remaining_ms: int | None = None
@@ -128,19 +130,16 @@
         ----------
         remaining_ms : int or None
             For a recovery, the time until its deadline; half of it is reserved for a further
-            attempt.
+            attempt, unless the rest is shorter than a tolerated silence.
         """
         stats = self._backends.get(backend)
         low, high = int(self._cfg.min_token_timeout), int(self._cfg.first_token_timeout)
-        expected = high
-        if stats is not None and stats.first.at(now_ms) > 0:
-            load = max(1.0, stats.load)
-            expected = int(FIRST_TOKEN_FACTOR * stats.first.at(now_ms) * load)
-            expected = max(expected, 2 * low)
+        usual = stats.first.at(now_ms) * max(1.0, stats.load) if stats is not None else 0.0
+        shortest = low + int(usual)
+        expected = max(shortest, int(FIRST_TOKEN_FACTOR * usual)) if usual > 0 else high
         if remaining_ms is not None:
-            share = max(MIN_RECOVERY_TIMEOUT_MS, int(remaining_ms * RECOVERY_SHARE))
-            expected = min(expected, share)
-        return min(high, max(min(low, MIN_RECOVERY_TIMEOUT_MS), expected))
+            expected = min(expected, max(shortest, int(remaining_ms * RECOVERY_SHARE)))
+        return min(high, expected)
 
     def _get(self, backend: BackendId) -> _BackendStats:
         return self._backends.setdefault(backend, _BackendStats())
--- a/packages/kernel/src/nutmegdrum/attempts.py
+++ b/packages/kernel/src/nutmegdrum/attempts.py
@@ -6,7 +6,7 @@
 from nutmegdrum_coord.clock import Clock, ElapsedMs
 
 from nutmegdrum import metrics
-from nutmegdrum.adaptive_timeouts import GAP_FACTOR, AdaptiveTimeouts
+from nutmegdrum.adaptive_timeouts import LONG_GAP_MS, AdaptiveTimeouts
 from nutmegdrum.backends import BackendProtocol
 from nutmegdrum.journal_sender import JournalSender
 from nutmegdrum.messages import BackendLost, GenerationRequest, LossKind
@@ -79,7 +79,6 @@
         self._timeouts = timeouts
         self._guard = guard
         self._watch = watch
-        self._long_gap_ms = int(cfg.min_token_timeout / GAP_FACTOR)
         self._loop: TokenLoop[tuple[Session, Attempt]] = TokenLoop("tokens", clock, self)
         self._cancels = ThreadPoolExecutor(_CANCEL_THREADS, thread_name_prefix="cancel")
 
@@ -166,7 +165,7 @@
         if self._timeouts.timed_out:
             self._timeouts.on_activity(backend, now_ms)
         if attempt.has_token:
-            if gap_ms >= self._long_gap_ms:
+            if gap_ms >= LONG_GAP_MS:
                 self._timeouts.on_gap(backend, gap_ms, now_ms)
             self._sample_gap(attempt, gap_ms)
             return
--- a/packages/kernel/src/nutmegdrum/settings.py
+++ b/packages/kernel/src/nutmegdrum/settings.py
@@ -152,7 +152,7 @@
 
     connect_timeout: Duration = Duration(500)
     first_token_timeout: Duration = Duration(3_000)
-    min_token_timeout: Duration = Duration(600)
+    min_token_timeout: Duration = Duration(1_800)
     max_token_timeout: Duration = Duration(2_000)
     recovery_deadline: Duration = Duration(5_000)
     max_attempts: int = 6
