Hold silent attempts while moving gains nothing

What callers saw: in a silence of all engines of some seconds each stream gave its engine up, read its prompt at another one that was as silent, and so on until its attempts were used up; a stream on its last attempt ended as backend-lost although its engine would have gone on.

Cause: a silent attempt was given up whatever the other engines did and whatever came after.

Why it works: `Silences` records when each engine with running attempts was heard. The last allowed attempt is held until the deadline. Refused and reset connections are still acted on at once. Each decision is logged as silent_attempt and counted in nutmegdrum_silences.

--- a/packages/kernel/src/nutmegdrum/attempts.py
+++ b/packages/kernel/src/nutmegdrum/attempts.py
@@ -9,11 +9,13 @@
 from nutmegdrum.adaptive_timeouts import LONG_GAP_MS, AdaptiveTimeouts
 from nutmegdrum.backends import BackendProtocol
 from nutmegdrum.journal_sender import JournalSender
+from nutmegdrum.logs import log_change
 from nutmegdrum.messages import BackendLost, GenerationRequest, LossKind
 from nutmegdrum.plugins import Event, Registry
 from nutmegdrum.routing_query import Routing
 from nutmegdrum.session import Attempt, Batch, Loss, Session
 from nutmegdrum.settings import StreamSettings
+from nutmegdrum.silence import Decision, Silences, SilentAttempt
 from nutmegdrum.streams import StreamState
 from nutmegdrum.token_loop import TokenLoop
 from nutmegdrum.version_watch import AttemptInfo, VersionWatch, route_of
@@ -79,6 +81,7 @@
         self._timeouts = timeouts
         self._guard = guard
         self._watch = watch
+        self._silences = Silences()
         self._loop: TokenLoop[tuple[Session, Attempt]] = TokenLoop("tokens", clock, self)
         self._cancels = ThreadPoolExecutor(_CANCEL_THREADS, thread_name_prefix="cancel")
 
@@ -102,6 +105,7 @@
         )
         self._watch.on_start(attempt.info)
         self._routing.started(backend, attempt.isolated)
+        self._silences.on_start(attempt.choice.backend.service, backend, attempt.began_ms)
         metrics.ATTEMPTS.labels("started").inc()
 
     def watch(self, session: Session, attempt: Attempt) -> None:
@@ -162,6 +166,10 @@
         backend = attempt.choice.backend.id
         gap_ms = now_ms - attempt.last_ms
         attempt.last_ms = now_ms
+        self._silences.on_output(attempt.choice.backend.service, backend, now_ms)
+        if attempt.decision is not None:
+            attempt.decision = None
+            metrics.SILENCES.labels("ended").inc()
         if self._timeouts.timed_out:
             self._timeouts.on_activity(backend, now_ms)
         if attempt.has_token:
@@ -208,17 +216,41 @@
         )
 
     def on_idle(self, key: tuple[Session, Attempt], now_ms: ElapsedMs) -> None:
-        """End an attempt if its backend server has been silent beyond its time-out."""
+        """Hold or end an attempt whose backend server has been silent beyond its time-out."""
         session, attempt = key
         waited_ms = now_ms - attempt.last_ms
         if waited_ms < self._timeout_ms(session, attempt, now_ms):
             return
         with session.lock:
-            if session.attempt is attempt and now_ms - attempt.last_ms >= waited_ms:
+            if session.attempt is not attempt or now_ms - attempt.last_ms < waited_ms:
+                return
+            if self._decide(session, attempt, now_ms) is Decision.GIVE_UP:
                 backend = attempt.choice.backend.id
                 self._timeouts.on_timeout(backend, waited_ms)
                 self.lose(session, attempt, BackendLost(backend, LossKind.SILENT, True))
 
+    def _decide(self, session: Session, attempt: Attempt, now_ms: ElapsedMs) -> Decision:
+        backend = attempt.choice.backend
+        since_ms = attempt.last_ms if session.lost_at_ms is None else session.lost_at_ms
+        silent = SilentAttempt(
+            backend.service,
+            backend.id,
+            ElapsedMs(since_ms + int(self._cfg.recovery_deadline)),
+            session.stream.is_last_attempt,
+        )
+        decision = self._silences.decide(silent, now_ms)
+        if decision is not attempt.decision:
+            attempt.decision = decision
+            metrics.SILENCES.labels(decision.value).inc()
+            log_change(
+                "silent_attempt",
+                generation=session.generation,
+                backend=backend.id,
+                silent_ms=now_ms - attempt.last_ms,
+                decision=decision.value,
+            )
+        return decision
+
     def on_pause(self, key: tuple[Session, Attempt], now_ms: ElapsedMs) -> None:
         """Restart the silence timer, since this process itself was paused."""
         key[1].last_ms = now_ms
@@ -278,7 +310,9 @@
         session.attempt = None
         if attempt.key is not None:
             self._loop.remove(attempt.descriptor, attempt.key)
-        self._routing.finished(attempt.choice.backend.id, ok, attempt.isolated)
+        backend = attempt.choice.backend
+        self._routing.finished(backend.id, ok, attempt.isolated)
+        self._silences.on_end(backend.service, backend.id)
         metrics.ATTEMPTS.labels("finished" if ok else "lost").inc()
         self._count_end(session, attempt, lost)
         if attempt.source is not None:
--- a/packages/kernel/src/nutmegdrum/metrics.py
+++ b/packages/kernel/src/nutmegdrum/metrics.py
@@ -27,6 +27,9 @@
 )
 ATTEMPTS = Counter("nutmegdrum_attempts", "Attempts at generations by outcome", ["outcome"])
 LOSSES = Counter("nutmegdrum_losses", "Attempts that were lost, by kind", ["kind"])
+SILENCES = Counter(
+    "nutmegdrum_silences", "Attempts silent beyond their time-out, by outcome", ["outcome"]
+)
 TAKEOVERS = Counter(
     "nutmegdrum_takeovers", "Streams taken over from other VMs, by outcome", ["outcome"]
 )
--- a/packages/kernel/src/nutmegdrum/session.py
+++ b/packages/kernel/src/nutmegdrum/session.py
@@ -21,6 +21,7 @@
 from nutmegdrum.journal_writer import JournalledStream
 from nutmegdrum.messages import BackendLost, Finish, FinishReason, Token
 from nutmegdrum.routing_query import Choice
+from nutmegdrum.silence import Decision
 from nutmegdrum.streams import Stream
 from nutmegdrum.version_watch import AttemptInfo
 
@@ -44,6 +45,7 @@
         self.first_token_ms: int | None = None
         self.batches = 0
         self.info: AttemptInfo | None = None
+        self.decision: Decision | None = None
 
 
 class Loss(NamedTuple):
--- a/packages/kernel/src/nutmegdrum/streams.py
+++ b/packages/kernel/src/nutmegdrum/streams.py
@@ -210,6 +210,11 @@
         """Return the reason why no further attempt may start, or None if one may."""
         return BACKEND_LOST if self.failures_in_row >= self._max_attempts else None
 
+    @property
+    def is_last_attempt(self) -> bool:
+        """Return whether no further attempt may start if the current one is lost."""
+        return self.failures_in_row + 1 >= self._max_attempts
+
     def fail(self) -> None:
         """End the stream without a finish; it accepts no more items."""
         if self.state is not StreamState.FINISHED:
--- a/packages/kernel/tests/test_silent_engines.py
+++ b/packages/kernel/tests/test_silent_engines.py
@@ -112,7 +112,7 @@
         self.sent = []
         self.streams = []
         registry = Registry()
-        router = Router(cfg, self.clock, random.Random(1), registry)
+        router = self.router = Router(cfg, self.clock, random.Random(1), registry)
         self.attempts = Attempts(
             cfg.streams,
             self.clock,
@@ -328,7 +328,34 @@
 
     def test_two_dark_engines_with_an_idle_third(self):
         gateway = Gateway(Engine((2_000, FOREVER)), Engine((2_000, FOREVER)), Engine())
-        gateway.start(2)
+        gateway.router.lost("b2", LossKind.SILENT)
+        gateway.start(4)
+        gateway.play(1_500)
+        assert {source.backend for _, source in gateway.sent} == {"b0", "b1"}
         gateway.play(30_000)
         assert_finished(gateway)
         assert max(gateway.gaps()) <= RESUME_LIMIT_MS
+
+
+class TestLongSharedSilence:
+    def test_few_streams_move_while_all_engines_are_silent(self):
+        gateway = Gateway(*[Engine((2_000, 6_500)) for _ in range(3)])
+        gateway.start(30)
+        gateway.play(30_000)
+        assert_finished(gateway)
+        assert sum(gateway.sends()) - 30 <= 3
+
+
+class TestLastAttempt:
+    def test_waits_for_its_engine(self):
+        gateway = Gateway(Engine((2_000, 6_500)), Engine())
+        gateway.start(6, max_attempts=1)
+        gateway.play(30_000)
+        assert_finished(gateway)
+        assert gateway.sends() == [1] * 6
+
+    def test_ends_at_the_deadline_if_its_engine_is_dead(self):
+        gateway = Gateway(Engine((2_000, FOREVER)))
+        gateway.start(2, max_attempts=1)
+        gateway.play(30_000)
+        assert all(stream.refusal is not None for stream in gateway.streams)
