Ask the retry budget before a silent attempt is given up

Cause: on_idle ends the attempt at once; permission can only be asked for after that.

Evidence: TestRetryBudget.

Why it works: `Attempts` takes an optional `may_resend`. It is asked on another thread, as it may wait for the leader, before a silent attempt is given up. A refusal holds the attempt for a second, at the longest until recovery_deadline; a grant is kept in session.may_send_again until the next attempt starts, so that who starts it need not ask again.

--- a/packages/kernel/src/nutmegdrum/attempts.py
+++ b/packages/kernel/src/nutmegdrum/attempts.py
@@ -1,9 +1,11 @@
 """Running attempts: tokens, time-outs, losses and ends."""
 
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Protocol
 
 from nutmegdrum_coord.clock import Clock, ElapsedMs
+from nutmegdrum_coord.ids import ServiceName
 
 from nutmegdrum import metrics
 from nutmegdrum.adaptive_timeouts import LONG_GAP_MS, AdaptiveTimeouts
@@ -15,7 +17,7 @@
 from nutmegdrum.routing_query import Routing
 from nutmegdrum.session import Attempt, Batch, Loss, Session
 from nutmegdrum.settings import StreamSettings
-from nutmegdrum.silence import Decision, Silences, SilentAttempt
+from nutmegdrum.silence import ASK_INTERVAL_MS, Decision, Silences, SilentAttempt
 from nutmegdrum.streams import StreamState
 from nutmegdrum.token_loop import TokenLoop
 from nutmegdrum.version_watch import AttemptInfo, VersionWatch, route_of
@@ -27,6 +29,11 @@
 _MS_PER_S = 1_000
 PERMILLE = 1_000
 
+ResendPermission = Callable[[ServiceName], bool]
+"""Function that returns whether a request to a service may be sent again, and counts it if so."""
+
+_PERMISSION_THREADS = 4
+
 GAP_SAMPLE_EVERY = 32
 """Number of token batches per sample of the inter-token latency."""
 
@@ -58,6 +65,8 @@
         Receives progress and losses, to find requests that crash backend servers.
     watch : VersionWatch
         Receives the outcome of each attempt, to judge versions.
+    may_resend : callable or None
+        Asks for permission to send a request again; may block.
     """
 
     def __init__(
@@ -71,6 +80,7 @@
         timeouts: AdaptiveTimeouts,
         guard: StreamGuard,
         watch: VersionWatch,
+        may_resend: ResendPermission | None = None,
     ):
         self._cfg = cfg
         self._clock = clock
@@ -82,6 +92,8 @@
         self._guard = guard
         self._watch = watch
         self._silences = Silences()
+        self._may_resend = may_resend
+        self._permissions = ThreadPoolExecutor(_PERMISSION_THREADS, thread_name_prefix="resends")
         self._loop: TokenLoop[tuple[Session, Attempt]] = TokenLoop("tokens", clock, self)
         self._cancels = ThreadPoolExecutor(_CANCEL_THREADS, thread_name_prefix="cancel")
 
@@ -93,9 +105,11 @@
         """Signal the threads to end."""
         self._loop.stop()
         self._cancels.shutdown(wait=False, cancel_futures=True)
+        self._permissions.shutdown(wait=False, cancel_futures=True)
 
     def record_start(self, session: Session, attempt: Attempt) -> None:
-        """Record the start of an attempt."""
+        """Record the start of an attempt, which uses up a permission to send again."""
+        session.may_send_again = False
         req = session.stream.req
         backend = attempt.choice.backend.id
         load = self._routing.load(backend)
@@ -224,32 +238,70 @@
         with session.lock:
             if session.attempt is not attempt or now_ms - attempt.last_ms < waited_ms:
                 return
-            if self._decide(session, attempt, now_ms) is Decision.GIVE_UP:
-                backend = attempt.choice.backend.id
-                self._timeouts.on_timeout(backend, waited_ms)
-                self.lose(session, attempt, BackendLost(backend, LossKind.SILENT, True))
+            decision = self._decide(session, attempt, now_ms)
+            if decision is not Decision.GIVE_UP:
+                self._record_decision(session, attempt, decision, now_ms)
+            elif self._may_resend is None or session.may_send_again:
+                self._give_up(session, attempt, now_ms)
+            elif not attempt.asking and now_ms >= attempt.ask_from_ms:
+                attempt.asking = True
+                self._permissions.submit(self._ask, session, attempt, attempt.last_ms)
 
     def _decide(self, session: Session, attempt: Attempt, now_ms: ElapsedMs) -> Decision:
         backend = attempt.choice.backend
+        deadline = self._hold_deadline(session, attempt)
+        is_last = session.stream.is_last_attempt
+        silent = SilentAttempt(backend.service, backend.id, deadline, is_last)
+        return self._silences.decide(silent, now_ms)
+
+    def _hold_deadline(self, session: Session, attempt: Attempt) -> ElapsedMs:
         since_ms = attempt.last_ms if session.lost_at_ms is None else session.lost_at_ms
-        silent = SilentAttempt(
-            backend.service,
-            backend.id,
-            ElapsedMs(since_ms + int(self._cfg.recovery_deadline)),
-            session.stream.is_last_attempt,
+        return ElapsedMs(since_ms + int(self._cfg.recovery_deadline))
+
+    def _give_up(self, session: Session, attempt: Attempt, now_ms: ElapsedMs) -> None:
+        backend = attempt.choice.backend.id
+        self._record_decision(session, attempt, Decision.GIVE_UP, now_ms)
+        self._timeouts.on_timeout(backend, now_ms - attempt.last_ms)
+        self.lose(session, attempt, BackendLost(backend, LossKind.SILENT, True))
+
+    def _ask(self, session: Session, attempt: Attempt, last_ms: ElapsedMs) -> None:
+        """Ask for permission to send a request again, and give its silent attempt up with it."""
+        assert self._may_resend is not None
+        granted = False
+        try:
+            granted = self._may_resend(attempt.choice.backend.service)
+        finally:
+            with session.lock:
+                self._on_permission(session, attempt, last_ms, granted)
+                attempt.asking = False
+
+    def _on_permission(
+        self, session: Session, attempt: Attempt, last_ms: ElapsedMs, granted: bool
+    ) -> None:
+        now_ms = self._clock.elapsed_ms()
+        attempt.ask_from_ms = ElapsedMs(now_ms + ASK_INTERVAL_MS)
+        session.may_send_again = session.may_send_again or granted
+        if session.attempt is not attempt or attempt.last_ms != last_ms:
+            return
+        if granted or now_ms >= self._hold_deadline(session, attempt):
+            self._give_up(session, attempt, now_ms)
+        else:
+            self._record_decision(session, attempt, Decision.HOLD_UNPERMITTED, now_ms)
+
+    def _record_decision(
+        self, session: Session, attempt: Attempt, decision: Decision, now_ms: ElapsedMs
+    ) -> None:
+        if decision is attempt.decision:
+            return
+        attempt.decision = decision
+        metrics.SILENCES.labels(decision.value).inc()
+        log_change(
+            "silent_attempt",
+            generation=session.generation,
+            backend=attempt.choice.backend.id,
+            silent_ms=now_ms - attempt.last_ms,
+            decision=decision.value,
         )
-        decision = self._silences.decide(silent, now_ms)
-        if decision is not attempt.decision:
-            attempt.decision = decision
-            metrics.SILENCES.labels(decision.value).inc()
-            log_change(
-                "silent_attempt",
-                generation=session.generation,
-                backend=backend.id,
-                silent_ms=now_ms - attempt.last_ms,
-                decision=decision.value,
-            )
-        return decision
 
     def on_pause(self, key: tuple[Session, Attempt], now_ms: ElapsedMs) -> None:
         """Restart the silence timer, since this process itself was paused."""
--- a/packages/kernel/src/nutmegdrum/session.py
+++ b/packages/kernel/src/nutmegdrum/session.py
@@ -46,6 +46,8 @@
         self.batches = 0
         self.info: AttemptInfo | None = None
         self.decision: Decision | None = None
+        self.asking = False
+        self.ask_from_ms = began_ms
 
 
 class Loss(NamedTuple):
@@ -71,6 +73,8 @@
         Held by the reader that starts an attempt; acquired before `lock`.
     lock : RLock
         Held while items are read and while an attempt ends.
+    may_send_again : bool
+        Whether the retry budget has granted the next attempt.
     """
 
     def __init__(
@@ -100,6 +104,7 @@
         self.failure: Refusal | None = None
         self.attempt: Attempt | None = None
         self.unreported_loss: Loss | None = None
+        self.may_send_again = False
         self.readers = 0
         self.lost_at_ms: ElapsedMs | None = None
         self.began_ms = clock.elapsed_ms()
--- a/packages/kernel/src/nutmegdrum/silence.py
+++ b/packages/kernel/src/nutmegdrum/silence.py
@@ -19,6 +19,9 @@
 CATCH_UP_MS = 300
 """Time that the backend servers get to go on after the first one ends a shared silence, in ms."""
 
+ASK_INTERVAL_MS = 1_000
+"""Interval at which permission to send a request again is asked for after a refusal, in ms."""
+
 SCOUT_INTERVAL_MS = 2_000
 """Interval at which one attempt of a service moves during a shared silence, in ms.
 
@@ -32,6 +35,7 @@
     GIVE_UP = "give-up"
     HOLD_SHARED = "hold-shared"
     HOLD_LAST = "hold-last"
+    HOLD_UNPERMITTED = "hold-unpermitted"
 
 
 class SilentAttempt(NamedTuple):
--- a/packages/kernel/tests/test_silent_engines.py
+++ b/packages/kernel/tests/test_silent_engines.py
@@ -22,6 +22,7 @@
 from nutmegdrum.streams import Stream
 from nutmegdrum_coord.clock import ManualClock
 from nutmegdrum_coord.verdict import Refusal
+from nutmegdrum_testing.waiting import wait_for
 
 STEP_MS = 25
 TOKEN_MS = 50
@@ -103,7 +104,7 @@
 class Gateway:
     """Streams over scripted engines in model time."""
 
-    def __init__(self, *engines):
+    def __init__(self, *engines, may_resend=None):
         self.engines = {f"b{number}": engine for number, engine in enumerate(engines)}
         backends = ", ".join(BACKEND % (n, n + 1) for n in range(len(engines)))
         cfg = parse_settings((SETTINGS % backends).encode())
@@ -130,6 +131,7 @@
                 on_finish=lambda *_: None,
                 on_abandon=lambda *_: None,
             ),
+            may_resend=may_resend,
         )
         self.starter = AttemptStarter(
             cfg.streams,
@@ -169,6 +171,7 @@
             self.clock.advance(STEP_MS)
             for stream in self.streams:
                 stream.step()
+            wait_for(lambda: not any(stream.asking for stream in self.streams))
 
     def play(self, until_ms):
         while self.now_ms < until_ms:
@@ -201,6 +204,11 @@
     def running(self):
         return self.session.stream.finish is None and self.refusal is None
 
+    @property
+    def asking(self):
+        attempt = self.session.attempt
+        return attempt is not None and attempt.asking
+
     def start_attempt(self):
         if self.session.attempt is None and self.running and not self.starting:
             self.starting = True
@@ -359,3 +367,43 @@
         gateway.start(2, max_attempts=1)
         gateway.play(30_000)
         assert all(stream.refusal is not None for stream in gateway.streams)
+
+
+class TestRetryBudget:
+    def test_silent_engine_is_not_given_up_without_permission(self):
+        gateway = Gateway(Engine((2_000, 6_500)), Engine(), may_resend=lambda service: False)
+        gateway.start(8)
+        gateway.play(30_000)
+        assert_finished(gateway)
+        assert gateway.sends() == [1] * 8
+
+    def test_as_many_move_as_are_permitted(self):
+        permissions = iter([True, True, *[False] * 1_000])
+        gateway = Gateway(Engine((2_000, 6_500)), may_resend=lambda service: next(permissions))
+        gateway.start(6)
+        gateway.play(30_000)
+        assert_finished(gateway)
+        assert sum(gateway.sends()) == 6 + 2
+
+    def test_dead_engine_is_given_up_at_the_deadline_without_permission(self):
+        gateway = Gateway(Engine((2_000, FOREVER)), Engine(), may_resend=lambda service: False)
+        gateway.start(8)
+        gateway.play(2_000 + RESUME_LIMIT_MS - 200)
+        assert gateway.sends() == [1] * 8
+        gateway.play(30_000)
+        assert_finished(gateway)
+
+    def test_refusal_holds_only_for_its_silence(self):
+        asked = []
+
+        def grant_second(service):
+            asked.append(service)
+            return len(asked) > 1
+
+        gateway = Gateway(
+            Engine((2_000, 4_000), (8_000, FOREVER)), Engine(), may_resend=grant_second
+        )
+        gateway.start(1)
+        gateway.play(30_000)
+        assert_finished(gateway)
+        assert max(gateway.gaps()) <= RESUME_LIMIT_MS
