Let idempotent calls wait for a silent server within their time

What callers saw: an idempotent call to a server silent for 2 s was refused as retry-budget-spent if the budget granted no retry, and as no-backend if all servers had been silent once, although there were 6 to 8 s left. A call that could not end in time was answered at its deadline, or up to `connect_timeout` after it, as connecting was not counted.

Cause: the time-out of each attempt but the fourth was 2 s, whatever came after it, and the time-out of the sender began after connecting.

Why it works: before an attempt starts, a retry is reserved locally, so that no more attempts run with the short time-out than may be repeated (TestReservation). Without one, or if the next attempt would be shorter than 2 s, it may take all the time. Servers that were only silent are tried again when no other is left. The deadline is 200 ms before call_timeout. The sender's time-out includes connecting, for non-idempotent calls too.

Not covered: the budget can still refuse when other VMs have just used the shared part up; the attempt has ended then.

--- a/packages/kernel/src/nutmegdrum/idempotent_calls.py
+++ b/packages/kernel/src/nutmegdrum/idempotent_calls.py
@@ -1,20 +1,32 @@
 """Idempotent calls to plain services, retried within the retry budget."""
 
+from typing import NamedTuple
+
 import msgspec
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import BackendId, Fingerprint, ServiceName
-from nutmegdrum_coord.verdict import BACKEND_LOST, RETRY_BUDGET_SPENT, Reason, Refusal, Verdict
+from nutmegdrum_coord.verdict import (
+    BACKEND_LOST,
+    NO_BACKEND,
+    RETRY_BUDGET_SPENT,
+    Reason,
+    Refusal,
+    Verdict,
+)
 
 from nutmegdrum import metrics
 from nutmegdrum.crashguard import CrashGuard
-from nutmegdrum.messages import BackendLost
+from nutmegdrum.messages import BackendLost, LossKind
 from nutmegdrum.plain_http import PlainCall, PlainReply, PlainSender
 from nutmegdrum.retries import Resend, RetryBudget
 from nutmegdrum.routing_query import Choice, RouteQuery, Routing
 from nutmegdrum.settings import Settings
 
 ATTEMPT_TIMEOUT_MS = 2_000
-"""Time-out of each attempt but the last, in ms."""
+"""Time-out of an attempt that may be repeated, in ms."""
+
+ANSWER_MARGIN_MS = 200
+"""Time before a call's deadline at which it is answered at the latest, in ms."""
 
 MAX_ATTEMPTS = 4
 RETRY_AFTER_MS = 1_000
@@ -24,6 +36,30 @@
 """HTTP status codes after which a call is retried."""
 
 
+class _Excluded(NamedTuple):
+    """Backend servers that have lost an attempt of a call."""
+
+    silent: frozenset[BackendId] = frozenset()
+    other: frozenset[BackendId] = frozenset()
+
+    def add(self, backend: BackendId, is_silent: bool) -> "_Excluded":
+        """Return this with another backend server."""
+        if is_silent:
+            return self._replace(silent=self.silent | {backend})
+        return self._replace(other=self.other | {backend})
+
+
+def attempt_timeout_ms(left_ms: int, may_repeat: bool) -> int:
+    """Return the time-out of an attempt, in ms.
+
+    An attempt that may not be repeated, or whose successor would be too short to outlast the
+    silence of a sound backend server, may take all the time that is left.
+    """
+    if not may_repeat or left_ms < 2 * ATTEMPT_TIMEOUT_MS:
+        return left_ms
+    return ATTEMPT_TIMEOUT_MS
+
+
 class IdempotentCalls:
     """Runs idempotent calls, with retries on other backend servers until one replies.
 
@@ -57,20 +93,21 @@
         Refusal
             If no backend server replied.
         """
-        deadline_ms = self._clock.elapsed_ms() + self._cfg.claims.call_timeout
-        excluded: frozenset[BackendId] = frozenset()
+        call_timeout_ms = int(self._cfg.claims.call_timeout)
+        deadline_ms = self._clock.elapsed_ms() + call_timeout_ms - ANSWER_MARGIN_MS
+        excluded = _Excluded()
         last: PlainReply | None = None
         sent = False
         verdict = Verdict.NOT_RUN
         service = ServiceName(query.model)
         self._budget.on_request(service)
         for attempt in range(1, MAX_ATTEMPTS + 1):
-            choice = self._routing.choose(msgspec.structs.replace(query, excluded=excluded))
+            choice = self._choose(query, excluded)
             if isinstance(choice, Reason):
                 return _reply_or_refuse(last, choice, verdict)
-            excluded |= {choice.backend.id}
+            is_silent = False
             try:
-                last = self._send(choice, call._replace(attempt=attempt), deadline_ms)
+                last = self._send(choice, call._replace(attempt=attempt), deadline_ms, service)
                 sent = True
                 self._guard.on_attempt_end(fingerprint, cleared=True)
                 if last.status not in RETRYABLE_STATUSES:
@@ -79,7 +116,9 @@
                 if exc.sent:
                     sent = True
                     verdict = Verdict.MAY_HAVE_RUN
+                is_silent = exc.kind is LossKind.SILENT
                 self._guard.on_loss(fingerprint, exc.backend, exc.kind)
+            excluded = excluded.add(choice.backend.id, is_silent)
             if self._clock.elapsed_ms() >= deadline_ms:
                 return _reply_or_refuse(last, BACKEND_LOST, verdict)
             if sent and not self._budget.take(service, Resend.RETRY):
@@ -88,15 +127,30 @@
             metrics.RETRIES.labels("made").inc()
         return _reply_or_refuse(last, BACKEND_LOST, verdict)
 
-    def _send(self, choice: Choice, call: PlainCall, deadline_ms: int) -> PlainReply:
+    def _choose(self, query: RouteQuery, excluded: _Excluded) -> Choice | Reason:
+        """Return a backend server, if need be one that has been silent but may go on."""
+        every = excluded.silent | excluded.other
+        choice = self._routing.choose(msgspec.structs.replace(query, excluded=every))
+        if choice is NO_BACKEND and excluded.silent:
+            query = msgspec.structs.replace(query, excluded=excluded.other)
+            choice = self._routing.choose(query)
+        return choice
+
+    def _send(
+        self, choice: Choice, call: PlainCall, deadline_ms: int, service: ServiceName
+    ) -> PlainReply:
         left_ms = max(1, deadline_ms - self._clock.elapsed_ms())
-        timeout_ms = left_ms if call.attempt == MAX_ATTEMPTS else min(left_ms, ATTEMPT_TIMEOUT_MS)
+        may_repeat = call.attempt < MAX_ATTEMPTS and self._budget.reserve(service, Resend.RETRY)
         backend = choice.backend
         self._routing.started(backend.id)
         ok = False
         try:
             reply = self._sender.send(
-                backend, call, lambda: True, self._cfg.streams.connect_timeout, timeout_ms
+                backend,
+                call,
+                lambda: True,
+                self._cfg.streams.connect_timeout,
+                attempt_timeout_ms(left_ms, may_repeat),
             )
             ok = True
             return reply
@@ -105,6 +159,8 @@
             raise
         finally:
             self._routing.finished(backend.id, ok)
+            if may_repeat:
+                self._budget.release(service)
 
 
 def _reply_or_refuse(last: PlainReply | None, reason: Reason, verdict: Verdict) -> PlainReply:
--- a/packages/kernel/src/nutmegdrum/plain_http.py
+++ b/packages/kernel/src/nutmegdrum/plain_http.py
@@ -92,6 +92,8 @@
     ) -> PlainReply:
         """Connect, check `may_send`, send the call and return the complete reply.
 
+        `timeout_ms` bounds all of it.
+
         Raises
         ------
         SendForbidden
@@ -136,6 +138,8 @@
     ) -> PlainReply:
         """Connect, check `may_send`, send the call and return the complete reply.
 
+        `timeout_ms` bounds all of it.
+
         Raises
         ------
         SendForbidden
@@ -144,20 +148,20 @@
             If the exchange failed; `sent` says whether a byte may have been sent.
         """
         address = backend.address
-        timeout_s = connect_timeout_ms / _MS_PER_S
+        deadline_ms = self._clock.elapsed_ms() + timeout_ms
+        timeout_s = min(connect_timeout_ms, timeout_ms) / _MS_PER_S
         conn = BoundedConnection(address.host, address.port, self._clock, timeout=timeout_s)
         try:
             _connect(conn, backend.id)
             if not may_send():
                 raise SendForbidden
-            return self._exchange(conn, backend.id, call, timeout_ms)
+            return self._exchange(conn, backend.id, call, deadline_ms)
         finally:
             conn.close()
 
     def _exchange(
-        self, conn: BoundedConnection, backend: BackendId, call: PlainCall, timeout_ms: int
+        self, conn: BoundedConnection, backend: BackendId, call: PlainCall, deadline_ms: int
     ) -> PlainReply:
-        deadline_ms = self._clock.elapsed_ms() + timeout_ms
         sock = conn.sock
         self._exchanges.add(sock)
         try:
--- a/packages/kernel/src/nutmegdrum/retries.py
+++ b/packages/kernel/src/nutmegdrum/retries.py
@@ -29,6 +29,9 @@
 RETRY_SHARE = 0.5
 """Share of the budget that retries may use; the rest is left to recoveries."""
 
+REFUSAL_MEMORY = Duration(1_000)
+"""Time after a refusal in which no resend is expected from the shared budget."""
+
 _BUCKETS = 20
 _MS_PER_S = 1_000
 
@@ -141,6 +144,8 @@
         self.requests = WindowCount()
         self.resends = WindowCount()
         self.own_part = _OwnPart(rng)
+        self.reserved = 0
+        self.refused_until_ms = 0
 
 
 class RetryBudget:
@@ -187,8 +192,32 @@
         RESENDS.labels(kind.value, "granted" if granted else "refused").inc()
         if not granted:
             log_change("resend_refused", service=service, resend=kind.value)
+            with self._lock:
+                until_ms = self._clock.elapsed_ms() + int(REFUSAL_MEMORY)
+                self._service(service).refused_until_ms = until_ms
         return granted
 
+    def reserve(self, service: ServiceName, kind: Resend) -> bool:
+        """Return whether a resend is likely to be granted; if so, count it until `release`.
+
+        Does not ask the leader. The resend itself must still be taken, and may be refused.
+        """
+        now_ms = self._clock.elapsed_ms()
+        with self._lock:
+            counts = self._service(service)
+            room = kind.share * self._limits.ratio * counts.requests.total(now_ms)
+            if now_ms >= counts.refused_until_ms:
+                room += kind.share * self._limits.shared / self._entry_vms
+            if counts.resends.total(now_ms) + counts.reserved + 1 > room:
+                return False
+            counts.reserved += 1
+            return True
+
+    def release(self, service: ServiceName) -> None:
+        """End a reservation."""
+        with self._lock:
+            self._service(service).reserved -= 1
+
     def _take_local(self, service: ServiceName, kind: Resend) -> bool:
         now_ms = self._clock.elapsed_ms()
         with self._lock:
--- a/packages/kernel/tests/test_retries.py
+++ b/packages/kernel/tests/test_retries.py
@@ -4,7 +4,14 @@
 from nutmegdrum.packing import pack, unpack
 from nutmegdrum.permits import Permit, PermitLedger, PermitRequest, ResendRequests
 from nutmegdrum.rate_limits import KnownLimits
-from nutmegdrum.retries import LEADER_RETRY, WINDOW, Resend, RetryBudget, RetryLimits
+from nutmegdrum.retries import (
+    LEADER_RETRY,
+    REFUSAL_MEMORY,
+    WINDOW,
+    Resend,
+    RetryBudget,
+    RetryLimits,
+)
 from nutmegdrum_coord.clock import ManualClock
 from nutmegdrum_coord.ids import VmId
 
@@ -115,3 +122,34 @@
 
 def _sent(request):
     return unpack(pack(request), PermitRequest)
+
+
+class TestReservation:
+    def test_no_more_are_reserved_than_may_be_granted(self, denied):
+        denied.take("svc", Resend.RETRY)
+        for _ in range(20):
+            denied.on_request("svc")
+        assert sum(denied.reserve("svc", Resend.RETRY) for _ in range(100)) == 5
+        assert count_granted(denied, 100, kind=Resend.RETRY) == 5
+
+    def test_a_reservation_ends_with_its_release(self, denied):
+        denied.take("svc", Resend.RETRY)
+        for _ in range(4):
+            denied.on_request("svc")
+        assert denied.reserve("svc", Resend.RETRY)
+        assert not denied.reserve("svc", Resend.RETRY)
+        denied.release("svc")
+        assert denied.reserve("svc", Resend.RETRY)
+
+    def test_the_shared_budget_counts_until_it_refuses(self, clock, denied):
+        assert sum(denied.reserve("svc", Resend.RETRY) for _ in range(100)) == 5
+        for _ in range(5):
+            denied.release("svc")
+        denied.take("svc", Resend.RETRY)
+        assert not denied.reserve("svc", Resend.RETRY)
+        clock.advance(REFUSAL_MEMORY)
+        assert denied.reserve("svc", Resend.RETRY)
+
+    def test_entry_vms_share_the_shared_budget(self, denied):
+        denied.set_entry_vms(5)
+        assert sum(denied.reserve("svc", Resend.RETRY) for _ in range(100)) == 1
