Answer generations before their callers' deadlines

What callers saw: `deadline_ms` was checked at admission only. A generation that had been admitted was answered whenever it ended, a recovery without an engine looked for one for 5 s, and a queued request was refused at its deadline, not before.

Cause: the deadline was known to the admission queue alone.

Why it works: a reader stops 200 ms before the deadline with deadline-unreachable: not-run only if it is the only reader, this VM the only owner and no attempt may have run, and then the session is ended so that none starts later; else may-have-run, and the session goes on for its other readers and for the caller's grace. Recoveries end by then, and a connection is tried no longer. The queue drops a request 200 ms earlier. Idempotent calls use the same margin.

test_attempt_starter: its stand-in of a session has the new attribute.

Not covered: a caller that joins a generation of another VM by its key, as StreamFollower does not know the deadline.

--- a/packages/kernel/src/nutmegdrum/attempt_starter.py
+++ b/packages/kernel/src/nutmegdrum/attempt_starter.py
@@ -9,6 +9,7 @@
 from nutmegdrum import metrics
 from nutmegdrum.attempts import Attempts
 from nutmegdrum.backends import BackendProtocol
+from nutmegdrum.deadlines import time_left
 from nutmegdrum.messages import BackendLost
 from nutmegdrum.recovery_queue import RecoveryQueue, SleepFunction
 from nutmegdrum.routing_query import Choice, Routing
@@ -92,8 +93,11 @@
         if is_recovery:
             metrics.RECOVERY_PREFILL_TOKENS.inc(len(call.prefix))
             metrics.RECOVERY_PREFILL_CHARS.inc(len(call.prompt))
+        connect_ms = time_left(
+            session.answer_by, self._clock.elapsed_ms(), int(self._cfg.connect_timeout)
+        )
         try:
-            source = self._protocol.open(choice.backend, call, int(self._cfg.connect_timeout))
+            source = self._protocol.open(choice.backend, call, max(1, connect_ms))
         except BackendLost as loss:
             with session.lock:
                 self._attempts.lose(session, attempt, loss)
@@ -125,7 +129,8 @@
 
     def _deadline(self, session: Session) -> ElapsedMs:
         since = session.last_output_ms if session.lost_at_ms is None else session.lost_at_ms
-        return ElapsedMs(since + int(self._cfg.recovery_deadline))
+        deadline = ElapsedMs(since + int(self._cfg.recovery_deadline))
+        return deadline if session.answer_by is None else min(deadline, session.answer_by)
 
     def _choose(self, session: Session, is_recovery: bool) -> tuple[bool, Choice]:
         """Return whether the attempt is isolated, and its backend server and version.
--- a/packages/kernel/src/nutmegdrum/fairqueue.py
+++ b/packages/kernel/src/nutmegdrum/fairqueue.py
@@ -7,6 +7,7 @@
 from nutmegdrum_coord.ids import WorkspaceId
 from nutmegdrum_coord.verdict import DEADLINE_UNREACHABLE, OVERLOADED, Reason, Refusal, Verdict
 
+from nutmegdrum.deadlines import ANSWER_MARGIN_MS
 from nutmegdrum.messages import Priority
 
 DEFAULT_MAX_QUEUED = 12
@@ -172,7 +173,7 @@
         self._number += 1
         wait_ms = self._max_wait_ms
         if req.deadline_ms is not None:
-            wait_ms = min(wait_ms, req.deadline_ms)
+            wait_ms = min(wait_ms, max(0, req.deadline_ms - ANSWER_MARGIN_MS))
         urgency = _URGENCY[req.priority]
         start_tag = self._start_tag(urgency, req.workspace)
         return QueueEntry(urgency, start_tag, self._number, req, now_ms + wait_ms)
--- a/packages/kernel/src/nutmegdrum/generations.py
+++ b/packages/kernel/src/nutmegdrum/generations.py
@@ -6,12 +6,13 @@
 from typing import NamedTuple
 
 from nutmegdrum_coord import verdict as v
-from nutmegdrum_coord.clock import Clock
+from nutmegdrum_coord.clock import Clock, ElapsedMs
 from nutmegdrum_coord.ids import Epoch, GenerationId, VmId, WorkspaceId
 from nutmegdrum_wire.gen.messages.ttypes import StreamCopy, StreamOpen
 
 from nutmegdrum import metrics
 from nutmegdrum.admission import Admission, AdmissionRequest, Ticket
+from nutmegdrum.deadlines import answer_by
 from nutmegdrum.event_ids import parse_event_id
 from nutmegdrum.follower import StreamFollower
 from nutmegdrum.generation_ids import make_generation_id
@@ -101,26 +102,35 @@
         Refusal
             If the request is not admitted, or the generation cannot be resumed.
         """
+        arrived = self._clock.elapsed_ms()
+        until = None if req.deadline_ms is None else answer_by(arrived, req.deadline_ms)
         admission_req = admission_request(req)._replace(resumed=bool(last_event_id))
-        ticket = self._admission.admit(admission_req, self._clock.elapsed_ms())
+        ticket = self._admission.admit(admission_req, arrived)
         try:
-            answer = self._answer(workspace.id, req, last_event_id)
+            answer = self._answer(workspace.id, req, last_event_id, until)
         except BaseException:
             self._admission.release(ticket)
             raise
         return answer._replace(items=self._read_with_ticket(ticket, answer.items))
 
-    def _answer(self, workspace: WorkspaceId, req: GenerationRequest, last_event_id: str) -> Answer:
+    def _answer(
+        self,
+        workspace: WorkspaceId,
+        req: GenerationRequest,
+        last_event_id: str,
+        until: ElapsedMs | None,
+    ) -> Answer:
         if last_event_id:
             generation, position = parse_event_id(last_event_id)
             session = self.resume(generation, workspace, position)
-            return self._answer_from(session, position.next_index)
+            return self._answer_from(session, position.next_index, until)
         if req.key:
-            return self._join_or_start(req)
+            return self._join_or_start(req, until)
         holders = self._choice.choose(self._cfg.journal_copies, self._sender.down())
         generation = make_generation_id(self._rng, holders)
         epoch = next_epoch(Epoch(0), self._rng)
-        return self._answer_from(self._begin(req, generation, epoch, holders), 0)
+        session = self._begin(req, generation, epoch, holders, until)
+        return self._answer_from(session, 0, until)
 
     def _read_with_ticket(self, ticket: Ticket, items: Iterator[ReadBatch]) -> Items:
         used = ticket.request.tokens - ticket.request.answer_tokens
@@ -132,14 +142,16 @@
         finally:
             self._admission.release(ticket, used)
 
-    def _answer_from(self, session: Session, first_index: int) -> Answer:
-        items = self._read(session, first_index)
+    def _answer_from(
+        self, session: Session, first_index: int, until: ElapsedMs | None = None
+    ) -> Answer:
+        items = self._read(session, first_index, until)
         return Answer(session.generation, session.stream.req, items)
 
-    def _read(self, session: Session, first_index: int) -> Items:
+    def _read(self, session: Session, first_index: int, until: ElapsedMs | None = None) -> Items:
         self._sessions.enter(session)
         try:
-            yield from self._relay.read(session, first_index)
+            yield from self._relay.read(session, first_index, until)
         except v.Refusal as refusal:
             if refusal.verdict is v.Verdict.NOT_RUN:
                 self._reader.close(session.generation, [self._vm, *session.holders])
@@ -148,11 +160,18 @@
             self._sessions.leave(session)
 
     def _begin(
-        self, req: GenerationRequest, generation: GenerationId, epoch: Epoch, holders: list[VmId]
+        self,
+        req: GenerationRequest,
+        generation: GenerationId,
+        epoch: Epoch,
+        holders: list[VmId],
+        until: ElapsedMs | None,
     ) -> Session:
         head = _new_head(req, epoch)
         stream = Stream(req, generation, epoch, self._cfg.max_attempts)
-        return self._add(Session(stream, head, holders, self._clock))
+        session = Session(stream, head, holders, self._clock)
+        session.answer_by = until
+        return self._add(session)
 
     def _add(self, session: Session) -> Session:
         self._sessions.put(session)
@@ -161,7 +180,7 @@
             self._sender.begin(session.journalled, others[: self._cfg.journal_copies])
         return session
 
-    def _join_or_start(self, req: GenerationRequest) -> Answer:
+    def _join_or_start(self, req: GenerationRequest, until: ElapsedMs | None) -> Answer:
         """Start a generation unless one is bound to its key; the VMs ranked by key decide."""
         count = self._cfg.journal_copies + 1
         down = self._sender.down()
@@ -174,10 +193,11 @@
                 epoch = next_epoch(Epoch(0), self._rng)
                 known = self._reader.claim_key(generation, req, _new_head(req, epoch), epoch, count)
             if known is None:
-                return self._answer_from(self._begin(req, generation, epoch, holders), 0)
-        return self._join(req, known)
+                session = self._begin(req, generation, epoch, holders, until)
+                return self._answer_from(session, 0, until)
+        return self._join(req, known, until)
 
-    def _join(self, req: GenerationRequest, known: StreamCopy) -> Answer:
+    def _join(self, req: GenerationRequest, known: StreamCopy, until: ElapsedMs | None) -> Answer:
         """Read the generation that is bound to a key from its first token."""
         request = decode_head(known.request).request
         if not _same_request(req, request):
@@ -185,7 +205,7 @@
         generation = GenerationId(known.generation)
         session = self._sessions.get(generation, req.workspace)
         if session is not None and session.failure is None:
-            return self._answer_from(session, 0)
+            return self._answer_from(session, 0, until)
         follower = StreamFollower(
             self._clock,
             self._reader,
--- a/packages/kernel/src/nutmegdrum/idempotent_calls.py
+++ b/packages/kernel/src/nutmegdrum/idempotent_calls.py
@@ -16,6 +16,7 @@
 
 from nutmegdrum import metrics
 from nutmegdrum.crashguard import CrashGuard
+from nutmegdrum.deadlines import answer_by
 from nutmegdrum.messages import BackendLost, LossKind
 from nutmegdrum.plain_http import PlainCall, PlainReply, PlainSender
 from nutmegdrum.retries import Resend, RetryBudget
@@ -25,9 +26,6 @@
 ATTEMPT_TIMEOUT_MS = 2_000
 """Time-out of an attempt that may be repeated, in ms."""
 
-ANSWER_MARGIN_MS = 200
-"""Time before a call's deadline at which it is answered at the latest, in ms."""
-
 MAX_ATTEMPTS = 4
 RETRY_AFTER_MS = 1_000
 """Backoff hint of refusals, in ms."""
@@ -93,8 +91,7 @@
         Refusal
             If no backend server replied.
         """
-        call_timeout_ms = int(self._cfg.claims.call_timeout)
-        deadline_ms = self._clock.elapsed_ms() + call_timeout_ms - ANSWER_MARGIN_MS
+        deadline_ms = answer_by(self._clock.elapsed_ms(), int(self._cfg.claims.call_timeout))
         excluded = _Excluded()
         last: PlainReply | None = None
         sent = False
--- a/packages/kernel/src/nutmegdrum/relay.py
+++ b/packages/kernel/src/nutmegdrum/relay.py
@@ -8,11 +8,12 @@
 from collections.abc import Iterator
 
 from nutmegdrum_coord import verdict as v
-from nutmegdrum_coord.clock import Clock
+from nutmegdrum_coord.clock import Clock, ElapsedMs
 
 from nutmegdrum import metrics
 from nutmegdrum.attempt_starter import RETRY_AFTER_MS, AttemptStarter
 from nutmegdrum.attempts import Attempts
+from nutmegdrum.deadlines import time_left
 from nutmegdrum.journal_sender import JournalSender
 from nutmegdrum.messages import Finish
 from nutmegdrum.session import Batch, ReadBatch, Session, split_epochs
@@ -43,20 +44,27 @@
         self._attempts = attempts
         self._starter = starter
 
-    def read(self, session: Session, first_index: int = 0) -> Iterator[ReadBatch]:
+    def read(
+        self, session: Session, first_index: int = 0, answer_by: ElapsedMs | None = None
+    ) -> Iterator[ReadBatch]:
         """Yield a session's items from `first_index` on; the last one is the finish.
 
+        Parameters
+        ----------
+        answer_by : ElapsedMs or None
+            Time by which the last item must be yielded.
+
         Raises
         ------
         Refusal
-            If the generation cannot continue on this VM.
+            If the generation cannot continue on this VM, or does not end by `answer_by`.
         """
         wakeup = session.add_wakeup()
         index = first_index
         uncounted = 0
         try:
             while True:
-                batch = self._next(session, index, wakeup)
+                batch = self._next(session, index, wakeup, answer_by)
                 ended = isinstance(batch[-1], Finish)
                 uncounted += len(batch) - ended
                 if ended or uncounted >= METRICS_BATCH:
@@ -70,16 +78,35 @@
             metrics.TOKENS.inc(uncounted)
             session.remove_wakeup(wakeup)
 
-    def _next(self, session: Session, index: int, wakeup: threading.Lock) -> Batch:
+    def _next(
+        self,
+        session: Session,
+        index: int,
+        wakeup: threading.Lock,
+        answer_by: ElapsedMs | None,
+    ) -> Batch:
         while True:
             self._raise_if_ended(session)
+            left_ms = time_left(answer_by, self._clock.elapsed_ms(), WAKEUP_TIMEOUT_MS)
+            if left_ms <= 0 and not session.done:
+                raise self._deadline_refusal(session)
             if session.done or session.released > index:
                 self._check_owner(session, wakeup)
                 return session.batch(index)
             if session.attempt is None and session.stream.finish is None:
                 self._start(session)
             else:
-                wakeup.acquire(timeout=WAKEUP_TIMEOUT_MS / _MS_PER_S)
+                wakeup.acquire(timeout=left_ms / _MS_PER_S)
+
+    def _deadline_refusal(self, session: Session) -> v.Refusal:
+        """Return the refusal for a deadline; ends a session that has sent nothing for others."""
+        with session.lock:
+            began = session.attempt is not None or session.stream.is_recovery
+            if began or session.readers > 1 or len(session.lineage) > 1:
+                return v.Refusal(v.DEADLINE_UNREACHABLE, v.Verdict.MAY_HAVE_RUN)
+        refusal = v.Refusal(v.DEADLINE_UNREACHABLE, v.Verdict.NOT_RUN)
+        self.fail(session, refusal)
+        return refusal
 
     def _raise_if_ended(self, session: Session) -> None:
         if session.failure is None and session.journalled.superseded and not session.done:
--- a/packages/kernel/src/nutmegdrum/session.py
+++ b/packages/kernel/src/nutmegdrum/session.py
@@ -73,6 +73,8 @@
         Held by the reader that starts an attempt; acquired before `lock`.
     lock : RLock
         Held while items are read and while an attempt ends.
+    answer_by : ElapsedMs or None
+        Time by which the caller that started the generation must be answered.
     may_send_again : bool
         Whether the retry budget has granted the next attempt.
     """
@@ -105,6 +107,7 @@
         self.attempt: Attempt | None = None
         self.unreported_loss: Loss | None = None
         self.may_send_again = False
+        self.answer_by: ElapsedMs | None = None
         self.readers = 0
         self.lost_at_ms: ElapsedMs | None = None
         self.began_ms = clock.elapsed_ms()
--- a/packages/kernel/tests/test_attempt_starter.py
+++ b/packages/kernel/tests/test_attempt_starter.py
@@ -31,7 +31,9 @@
         exhausted_reason=lambda: None,
         query=lambda **_: RouteQuery(model="none", workspace="w", prompt="p", generation="g"),
     )
-    session = SimpleNamespace(stream=stream, last_output_ms=0, lost_at_ms=None, ended=False)
+    session = SimpleNamespace(
+        stream=stream, last_output_ms=0, lost_at_ms=None, answer_by=None, ended=False
+    )
     with pytest.raises(Refusal) as caught:
         starter.begin(session)
     return caught.value
