Leave a silent stream to its owner while that answers

What callers saw: a caller that joined a generation by its key at another VM took it over after 2.5 s without tokens, and so started a second attempt while the owner waited for a silent engine or a recovery's first token. It also followed beyond its own deadline.

Cause: the follower took 2.5 s without tokens for the owner's death.

Why it works: after 2.5 s the owner is asked for its copy. One that does not answer is replaced as before; one that answers gets recovery_deadline and a second, after which its own stream would have ended. The price: a stream whose owner was restarted and has lost it is taken over after 6 s. Followers end with deadline-unreachable at their caller's deadline.

--- a/packages/kernel/src/nutmegdrum/follower.py
+++ b/packages/kernel/src/nutmegdrum/follower.py
@@ -3,10 +3,11 @@
 from collections.abc import Callable, Iterator
 
 from nutmegdrum_coord import verdict as v
-from nutmegdrum_coord.clock import Clock
-from nutmegdrum_coord.ids import GenerationId, WorkspaceId
+from nutmegdrum_coord.clock import Clock, ElapsedMs
+from nutmegdrum_coord.ids import GenerationId, VmId, WorkspaceId
 from nutmegdrum_wire.gen.messages.ttypes import StreamCopy
 
+from nutmegdrum.deadlines import time_left
 from nutmegdrum.journal_messages import (
     CANCELLED,
     EpochStart,
@@ -23,7 +24,7 @@
 
 POLL_MS = 100
 OWNER_SILENCE_MS = 2_500
-"""Time without new tokens after which the stream is taken over from its owner, in ms."""
+"""Time without new tokens after which the stream is taken over from a dead owner, in ms."""
 
 RETRY_AFTER_MS = 1_000
 """Backoff hint when the journal of a stream is lost, in ms."""
@@ -40,7 +41,12 @@
     ----------
     resume : callable
         Takes the stream over and yields the rest; called when the owner adds nothing for
-        `OWNER_SILENCE_MS`.
+        `OWNER_SILENCE_MS` and does not answer.
+    patience_ms : int
+        Time without new tokens after which the stream is taken over from an owner that answers;
+        longer than an owner needs for a recovery.
+    until : ElapsedMs or None
+        Time by which the finish must be yielded.
     """
 
     def __init__(
@@ -51,7 +57,11 @@
         workspace: WorkspaceId,
         resume: ResumeStream,
         sleep: SleepFunction,
+        patience_ms: int,
+        until: ElapsedMs | None = None,
     ):
+        self._patience_ms = patience_ms
+        self._until = until
         self._clock = clock
         self._reader = reader
         self._generation = generation
@@ -65,7 +75,7 @@
         Raises
         ------
         Refusal
-            If the stream was cancelled, or a part of it is lost.
+            If the stream was cancelled, a part of it is lost, or it does not end in time.
         """
         position = Position(0)
         progress_ms = self._clock.elapsed_ms()
@@ -80,10 +90,22 @@
                     return
                 position = _position_after(lineage, batch)
                 progress_ms = self._clock.elapsed_ms()
-            elif self._clock.elapsed_ms() - progress_ms > OWNER_SILENCE_MS:
+            elif self._is_lost(newest, self._clock.elapsed_ms() - progress_ms):
                 yield from self._resume(position)
                 return
-            self._sleep(POLL_MS / _MS_PER_S)
+            wait_ms = time_left(self._until, self._clock.elapsed_ms(), POLL_MS)
+            if wait_ms <= 0:
+                raise v.Refusal(v.DEADLINE_UNREACHABLE, v.Verdict.MAY_HAVE_RUN)
+            self._sleep(wait_ms / _MS_PER_S)
+
+    def _is_lost(self, newest: StreamCopy | None, silent_ms: int) -> bool:
+        """Return whether the owner has lost the stream, rather than waiting for an engine."""
+        if silent_ms <= OWNER_SILENCE_MS:
+            return False
+        if newest is None or silent_ms > self._patience_ms:
+            return True
+        owner = VmId(newest.owner)
+        return not self._reader.answers(owner, self._generation, self._workspace)
 
 
 def _common_tokens(
--- a/packages/kernel/src/nutmegdrum/generations.py
+++ b/packages/kernel/src/nutmegdrum/generations.py
@@ -44,6 +44,9 @@
 CHARS_PER_TOKEN = 4
 """Estimated characters per token of a prompt."""
 
+OWNER_MARGIN_MS = 1_000
+"""Time after the recovery deadline that a live owner of a silent stream gets, in ms."""
+
 _LOCK_STRIPES = 64
 """Number of locks shared by all generations and keys; two of them rarely map to the same one."""
 
@@ -211,16 +214,22 @@
             self._reader,
             generation,
             req.workspace,
-            lambda position: self._continue(generation, req.workspace, position),
+            lambda position: self._continue(generation, req.workspace, position, until),
             self._sleep,
+            int(self._cfg.recovery_deadline) + OWNER_MARGIN_MS,
+            until,
         )
         return Answer(generation, request, follower.read())
 
     def _continue(
-        self, generation: GenerationId, workspace: WorkspaceId, position: Position
+        self,
+        generation: GenerationId,
+        workspace: WorkspaceId,
+        position: Position,
+        until: ElapsedMs | None,
     ) -> Iterator[ReadBatch]:
         session = self.resume(generation, workspace, position)
-        return self._read(session, position.next_index)
+        return self._read(session, position.next_index, until)
 
     def resume(
         self, generation: GenerationId, workspace: WorkspaceId, position: Position
--- a/packages/kernel/src/nutmegdrum/journal_reader.py
+++ b/packages/kernel/src/nutmegdrum/journal_reader.py
@@ -123,6 +123,11 @@
             answers.copies | self._ask(rest, "fetch_stream", generation, workspace).copies
         )
 
+    def answers(self, vm: VmId, generation: GenerationId, workspace: WorkspaceId) -> bool:
+        """Return whether a VM answers, whether it has a copy of the generation or not."""
+        known = vm == self._vm or vm in self._addresses
+        return known and self._call(vm, "fetch_stream", generation, workspace) is not None
+
     def fetch_everywhere(self, generation: GenerationId, workspace: WorkspaceId) -> CopyAnswers:
         """Return the copies at all entry VMs."""
         all_vms = [self._vm, *self._choice.others]
