Let peers wait for held first attempts of passed-on requests

What callers would see: a request that another VM passed on was given up after 8 s of silence if `claims.call_timeout` was shorter than that, while the VM that served it still held a silent first attempt.

Cause: the longest silence of an entry VM was the first token's time-out and recovery_deadline. A held first attempt may take recovery_deadline, and its recovery as long again.

Evidence: TestLongestSilence; the function had another name before, its first case would be 8,000 ms.

--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -67,9 +67,10 @@
 _MS_PER_S = 1_000
 
 
-def _longest_silence(cfg: Settings) -> Duration:
+def longest_silence(cfg: Settings) -> Duration:
     """Return the longest time that an entry VM takes to send anything of an answer."""
-    stream = cfg.streams.recovery_deadline + cfg.streams.first_token_timeout
+    deadline = cfg.streams.recovery_deadline
+    stream = max(deadline, cfg.streams.first_token_timeout) + deadline
     return Duration(max(cfg.claims.call_timeout, stream))
 
 
@@ -154,7 +155,7 @@
         sender = HttpPlainSender(clock, self._on_backend_answer, self._exchanges)
         self.plain = PlainHandler(cfg, clock, routing, self.guard, claims, budget, sender)
         self.passing_on = PassingOn(
-            cfg.vm.id, clock, rng, _longest_silence(cfg), reach, self._exchanges
+            cfg.vm.id, clock, rng, longest_silence(cfg), reach, self._exchanges
         )
         self.heartbeater = Heartbeater(
             cfg,
--- a/packages/kernel/tests/test_deadlines.py
+++ b/packages/kernel/tests/test_deadlines.py
@@ -3,11 +3,12 @@
 import pytest
 from nutmegdrum.attempt_starter import AttemptStarter
 from nutmegdrum.deadlines import ANSWER_MARGIN_MS, answer_by, time_left
+from nutmegdrum.entry import longest_silence
 from nutmegdrum.fairqueue import AdmissionRequest, FairQueue
 from nutmegdrum.journal_messages import EpochStart, StreamHead
 from nutmegdrum.relay import Relay
 from nutmegdrum.session import Session
-from nutmegdrum.settings import StreamSettings
+from nutmegdrum.settings import ClaimSettings, StreamSettings
 from nutmegdrum.streams import Stream
 from nutmegdrum_coord.clock import ManualClock
 from nutmegdrum_coord.verdict import DEADLINE_UNREACHABLE, NO_BACKEND, Refusal, Verdict
@@ -126,6 +127,25 @@
         assert queue.expired(1_000 - ANSWER_MARGIN_MS) == [number]
 
 
+class TestLongestSilence:
+    @pytest.mark.parametrize(
+        ("first_ms", "recovery_ms", "call_ms", "expected"),
+        [
+            (3_000, 5_000, 4_000, 10_000),
+            (7_000, 5_000, 4_000, 12_000),
+            (3_000, 5_000, 11_000, 11_000),
+        ],
+    )
+    def test_covers_a_held_first_attempt_and_its_recovery(
+        self, first_ms, recovery_ms, call_ms, expected
+    ):
+        cfg = SimpleNamespace(
+            streams=StreamSettings(first_token_timeout=first_ms, recovery_deadline=recovery_ms),
+            claims=ClaimSettings(call_timeout=call_ms),
+        )
+        assert longest_silence(cfg) == expected
+
+
 class TestAnswerBy:
     def test_is_not_before_the_arrival(self):
         assert answer_by(1_000, ANSWER_MARGIN_MS - 1) == 1_000
