Take a stream without tokens over from any silent owner

Cause, by reading, not traced: an owner that refuses a request as not run closes its copies in the background.

Why it works: only streams with tokens are left to a live owner.

--- a/packages/kernel/src/nutmegdrum/follower.py
+++ b/packages/kernel/src/nutmegdrum/follower.py
@@ -43,8 +43,8 @@
         Takes the stream over and yields the rest; called when the owner adds nothing for
         `OWNER_SILENCE_MS` and does not answer.
     patience_ms : int
-        Time without new tokens after which the stream is taken over from an owner that answers;
-        longer than an owner needs for a recovery.
+        Time without new tokens after which a stream with tokens is taken over from an owner that
+        answers; longer than an owner needs for a recovery.
     until : ElapsedMs or None
         Time by which the finish must be yielded.
     """
@@ -102,7 +102,8 @@
         """Return whether the owner has lost the stream, rather than waiting for an engine."""
         if silent_ms <= OWNER_SILENCE_MS:
             return False
-        if newest is None or silent_ms > self._patience_ms:
+        if newest is None or not newest.tokens or silent_ms > self._patience_ms:
+            # An owner that has refused a request as not run may not have closed its copies yet.
             return True
         owner = VmId(newest.owner)
         return not self._reader.answers(owner, self._generation, self._workspace)
--- a/packages/kernel/tests/test_follower.py
+++ b/packages/kernel/tests/test_follower.py
@@ -25,7 +25,8 @@
         Time at which the owner adds the rest of the stream, in ms.
     """
 
-    def __init__(self, dead_at=FOREVER, goes_on_at=FOREVER, until=None):
+    def __init__(self, dead_at=FOREVER, goes_on_at=FOREVER, until=None, tokens=("a",)):
+        self.tokens = list(tokens)
         self.dead_at = dead_at
         self.goes_on_at = goes_on_at
         self.clock = ManualClock()
@@ -53,7 +54,7 @@
             workspace="w",
             epoch=1,
             request=encode_head(StreamHead(request=REQ, lineage=[EpochStart(1, 0)])),
-            tokens=["a", "b"] if whole else ["a"],
+            tokens=["a", "b"] if whole else self.tokens,
             finish_reason="length" if whole else "",
             owner="n1",
             found=True,
@@ -94,6 +95,11 @@
         joiner.read()
         assert 4_000 <= joiner.taken_over_ms <= 4_000 + RPC_MS + 2 * POLL_MS
 
+    def test_is_taken_over_if_it_has_no_token(self):
+        joiner = Joiner(tokens=())
+        joiner.read()
+        assert OWNER_SILENCE_MS < joiner.taken_over_ms <= OWNER_SILENCE_MS + 2 * POLL_MS
+
     def test_is_taken_over_from_an_owner_that_has_lost_it(self):
         joiner = Joiner()
         joiner.read()
