Try engines that took no connection again before refusing a request

What callers saw: while all engines of a service with at most three were silent and took no connections, new requests were refused as no-backend after 0.5 to 1.5 s, although the engines went on right after.

Cause: each engine was tried once, 500 ms for a connection; then none was eligible. With four and more engines the fourth attempt comes after 1.5 s.

Why it works: a request that no engine has rejected may try one again. It has sent nothing, so no engine gets it twice; MAX_REJECTIONS still bounds the tries to four, 2 s at most.

--- a/packages/kernel/src/nutmegdrum/attempt_starter.py
+++ b/packages/kernel/src/nutmegdrum/attempt_starter.py
@@ -153,7 +153,7 @@
             if not isinstance(choice, v.Reason):
                 return query.isolated, choice
             if not is_recovery and stream.attempts and choice is v.NO_BACKEND:
-                raise _rejected_refusal(stream)
+                return query.isolated, self._choose_unreached(stream)
             if not is_recovery:
                 raise _first_attempt_refusal(choice, query.model)
             if choice is v.NOT_FOUND:
@@ -166,6 +166,20 @@
             no_backend_count += choice is v.NO_BACKEND
             self._sleep(CHOOSE_POLL_MS / _MS_PER_S)
 
+    def _choose_unreached(self, stream: Stream) -> Choice:
+        """Return a backend server to which no connection was established, but may be by now.
+
+        Raises
+        ------
+        Refusal
+            If another one has rejected the request.
+        """
+        if stream.unreached_in_row == stream.attempts:
+            choice = self._routing.choose(stream.query(exclude=False))
+            if not isinstance(choice, v.Reason):
+                return choice
+        raise _rejected_refusal(stream)
+
 
 def _rejected_refusal(stream: Stream) -> v.Refusal:
     """Return the refusal of a request that has not begun on any backend server it was sent to."""
--- a/packages/kernel/tests/test_silent_engines.py
+++ b/packages/kernel/tests/test_silent_engines.py
@@ -21,7 +21,7 @@
 from nutmegdrum.settings import parse_settings
 from nutmegdrum.streams import Stream
 from nutmegdrum_coord.clock import ManualClock
-from nutmegdrum_coord.verdict import Refusal
+from nutmegdrum_coord.verdict import Refusal, Verdict
 from nutmegdrum_testing.waiting import wait_for
 
 STEP_MS = 25
@@ -280,6 +280,22 @@
         self.play(*[Engine((100, 100 + SILENCE_MS), hangs=hangs) for _ in range(2)])
 
 
+@pytest.mark.parametrize("engines", [1, 2, 3, 6])
+class TestNewRequest:
+    def test_outlasts_a_silence_in_which_connections_hang(self, engines):
+        gateway = Gateway(*[Engine((0, SILENCE_MS), hangs=True) for _ in range(engines)])
+        gateway.start(1)
+        gateway.play(30_000)
+        assert_finished(gateway)
+        assert gateway.sends() == [1]
+
+    def test_is_refused_as_not_run_if_no_engine_takes_connections(self, engines):
+        gateway = Gateway(*[Engine((0, FOREVER), hangs=True) for _ in range(engines)])
+        gateway.start(1)
+        gateway.play(3_000)
+        assert [s.refusal.verdict for s in gateway.streams] == [Verdict.NOT_RUN]
+
+
 class TestAfterAFalseAlarm:
     def test_the_other_streams_outlast_the_next_silence(self):
         gateway = Gateway(Engine((2_000, 4_300), (4_400, 4_400 + SILENCE_MS)), Engine())
