Let the soak start daemons of another build

Before the checks of limits and of an entry VM that is cut off, which an older build need not pass, the daemons of the other build are replaced, so that all checks hold in mixed plays too. The summary tells how many starts took the other build.

--- a/packages/testing/src/nutmegdrum_testing/soak/__main__.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/__main__.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import sys
+from pathlib import Path
 
 from nutmegdrum_testing.processes import Processes
 from nutmegdrum_testing.soak.faults import Faults
@@ -13,10 +14,25 @@
 FRESH_SEED_BITS = 31
 
 
-def play(seed: int, seconds: float = FAULTS_S, entries: int = ENTRIES) -> list[str]:
-    """Play one seed and return the problems found; if there are any, the logs are kept."""
+def play(
+    seed: int,
+    seconds: float = FAULTS_S,
+    entries: int = ENTRIES,
+    other_build: Path | None = None,
+) -> list[str]:
+    """Play one seed and return the problems found; if there are any, the logs are kept.
+
+    Parameters
+    ----------
+    seconds : float
+        Duration of the faults in s.
+    entries : int
+        Number of entry daemons.
+    other_build : Path or None
+        Checkout of another build, which some starts of daemons take.
+    """
     with Processes() as processes:
-        world = SoakWorld(seed, processes, entries)
+        world = SoakWorld(seed, processes, entries, other_build)
         problems = world.callers.problems
         faults = Faults(world, random.Random(seed + 2))
         try:
@@ -30,7 +46,7 @@
         outcomes = dict(sorted(world.callers.outcomes.items()))
         print(
             f"seed {seed}: {len(problems)} problems; {len(faults.injected)} faults; "
-            f"roll-outs {world.roll_outs.results}; {outcomes}"
+            f"{world.starts()}; roll-outs {world.roll_outs.results}; {outcomes}"
         )
         if problems:
             print(f"  faults: {faults.injected}\n  logs: {world.folder}")
@@ -56,9 +72,15 @@
     parser.add_argument(
         "--entries", type=int, default=ENTRIES, help="number of entry daemons of each seed"
     )
+    parser.add_argument(
+        "--other-build",
+        type=Path,
+        metavar="DIR",
+        help="checkout of another build, installed there, that half of the daemons' starts take",
+    )
     args = parser.parse_args()
     seeds = args.seeds + [secrets.randbits(FRESH_SEED_BITS) for _ in range(args.fresh)]
-    failed = [seed for seed in seeds if play(seed, args.seconds, args.entries)]
+    failed = [seed for seed in seeds if play(seed, args.seconds, args.entries, args.other_build)]
     print(f"{len(seeds)} seeds, failed: {failed or 'none'}")
     sys.exit(bool(failed))
 
--- a/packages/testing/src/nutmegdrum_testing/soak/world.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/world.py
@@ -3,6 +3,7 @@
 import random
 import shutil
 import subprocess
+import sys
 import tempfile
 import time
 from collections.abc import Callable
@@ -53,23 +54,64 @@
 STOP_S = 20.0
 """Time-out in s of a daemon's shutdown, several times `entry.stop_within`."""
 
+PYTHON = Path(".venv/bin/python")
+OTHER_BUILD_SHARE = 0.5
+"""Interpreter in a checkout, and the share of the starts that take the other build."""
+
 SLACK_S = 3.0
 """Tolerance in s on the time bounds, since other work shares the machine."""
 
 
+class Builds:
+    """Draws the build that each start of a daemon takes, as while VMs are replaced.
+
+    Parameters
+    ----------
+    other : Path or None
+        Checkout of another build with an environment of its own; None to always take this build.
+
+    Attributes
+    ----------
+    is_other : bool
+        Whether the last start took the other build.
+    starts : int
+        Number of starts so far.
+    other_starts : int
+        Number of those that took the other build.
+    """
+
+    def __init__(self, rng: random.Random, other: Path | None):
+        self._rng = rng
+        self._other = other
+        self.is_other = False
+        self.starts = self.other_starts = 0
+
+    def python(self) -> str:
+        """Return the interpreter of the build to start."""
+        self.is_other = self._other is not None and self._rng.random() < OTHER_BUILD_SHARE
+        self.starts += 1
+        self.other_starts += self.is_other
+        return str(self._other / PYTHON) if self._other and self.is_other else sys.executable
+
+    def take_only_this(self) -> None:
+        """Take this build at each start from now on."""
+        self._other = None
+
+
 class Daemon:
     """A daemon process that is restarted whenever it ends."""
 
-    def __init__(self, processes: Processes, settings: Path, log: Path):
+    def __init__(self, processes: Processes, settings: Path, log: Path, builds: Builds):
         self._processes = processes
+        self.builds = builds
         self._settings = settings
         self._log = log
         self._cut = settings.with_suffix(CUT_OFF_SUFFIX)
         self.process = self._start()
 
     def _start(self) -> RunningProcess:
-        module = "nutmegdrum_testing.soak.daemon"
-        return self._processes.start_module(module, str(self._settings), output=self._log)
+        args = [self.builds.python(), "-m", "nutmegdrum_testing.soak.daemon", str(self._settings)]
+        return self._processes.start(args, output=self._log)
 
     def kill(self) -> None:
         """Kill the process and start a new one."""
@@ -132,9 +174,19 @@
     ----------
     entries : int
         Number of entry daemons.
+    other_build : Path or None
+        Checkout of another build, which some starts of daemons take.
     """
 
-    def __init__(self, seed: int, processes: Processes, entries: int = ENTRIES):
+    def __init__(
+        self,
+        seed: int,
+        processes: Processes,
+        entries: int = ENTRIES,
+        other_build: Path | None = None,
+    ):
+        self._seed = seed
+        self._other_build = other_build
         self.folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.rng = random.Random(seed)
         self.network = Network()
@@ -181,7 +233,14 @@
             settings["data_folder"] = str(self.folder / host)
         path = self.folder / f"{host}.json"
         path.write_bytes(msgspec.json.encode(settings))
-        return Daemon(self._processes, path, self.folder / f"{host}.log")
+        builds = Builds(random.Random(f"{self._seed} {host}"), self._other_build)
+        return Daemon(self._processes, path, self.folder / f"{host}.log", builds)
+
+    def starts(self) -> str:
+        """Return the number of starts of daemons, and of those of the other build."""
+        builds = [daemon.builds for daemon in (*self.entries, *self.replicas)]
+        starts, others = sum(b.starts for b in builds), sum(b.other_starts for b in builds)
+        return f"{starts} starts ({others} of the other build)" if others else f"{starts} starts"
 
     def start(self) -> None:
         """Wait until a first document is in force at every entry VM, then start the callers."""
@@ -223,6 +282,7 @@
             "streams that share a part with the deadly ones complete",
             lambda: self.callers.outcomes["stream 200"] > before + 3,
         )
+        self._end_replacement()
         self._check_limit()
         self._check_cut_off()
         self.callers.faults_ended = True
@@ -234,6 +294,17 @@
         if not self._in_force(version):
             self.callers.problems.append(f"version {version} is not in force in time")
 
+    def _end_replacement(self) -> None:
+        """Replace the daemons of the other build, which need not know limits or cuts."""
+        for daemon in (*self.entries, *self.replicas):
+            daemon.builds.take_only_this()
+            if daemon.builds.is_other:
+                daemon.restart()
+                self._expect(
+                    "the newest document is in force after a replacement",
+                    lambda: self._in_force(self.operator.acknowledged),
+                )
+
     def _check_rollouts(self) -> None:
         self.callers.problems.extend(self.roll_outs.problems)
         if self.roll_outs.target:
