Let sound backend servers of the soak fall silent

Faults now record what they hit, so that the checks can tell a stream that was lost to a silence from one that another fault hit. The faults of a seed are drawn as before, so that seeds without silences play as they did.

--- a/packages/testing/src/nutmegdrum_testing/link.py
+++ b/packages/testing/src/nutmegdrum_testing/link.py
@@ -13,6 +13,7 @@
 
 _CHUNK_BYTES = 1 << 16
 _POLL_S = 0.01
+_QUEUED_CONNECTIONS = 4
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -63,7 +64,8 @@
     """One forwarded address.
 
     A silenced direction holds its bytes back without closing the connection, as when packets are
-    dropped. `reset` resets all connections, and `refuse` closes the listener too.
+    dropped; `hang` also leaves connection attempts without an answer. `reset` resets all
+    connections, and `refuse` closes the listener too.
 
     Attributes
     ----------
@@ -80,6 +82,8 @@
         self._silent: set[Direction] = set()
         self._delay_ms = 0
         self._writers: set[asyncio.StreamWriter] = set()
+        self._listener: socket.socket | None = None
+        self._queued: list[socket.socket] = []
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._host = host
@@ -97,6 +101,16 @@
         """Hold back the bytes of `directions`, or of both directions if none is given."""
         self._silent = set(directions or Direction)
 
+    def hang(self) -> None:
+        """Hold back all bytes, and leave connection attempts without an answer."""
+        self._silent = set(Direction)
+        self._network.run(self._stop_accepting())
+
+    def end_silence(self) -> None:
+        """Forward bytes again and accept connections, unless the link refuses them."""
+        self._silent = set()
+        self._network.run(self._accept_again())
+
     def delay(self, ms: int) -> None:
         """Delay each chunk of bytes by `ms` in both directions."""
         self._delay_ms = ms
@@ -117,9 +131,11 @@
 
     async def shut(self) -> None:
         """Close the listener and all connections; must run in the network's event loop."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        self._close_server()
+        self._close_queued()
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
         await self._abort()
 
     async def _abort(self) -> None:
@@ -130,9 +146,37 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _listen(self) -> None:
+        if self._listener is None:
+            self._listener = socket.create_server((self._host, self._port))
+            self._port = self._listener.getsockname()[1]
+        self._close_queued()
         if self._server is None:
-            self._server = await asyncio.start_server(self._accept, self._host, self._port)
-            self._port = self._server.sockets[0].getsockname()[1]
+            # The listener outlives the server, so that no connection is refused meanwhile.
+            self._server = await asyncio.start_server(self._accept, sock=self._listener.dup())
+
+    async def _stop_accepting(self) -> None:
+        if self._listener is None or self._server is None:
+            return
+        self._close_server()
+        self._listener.listen(0)
+        for _ in range(_QUEUED_CONNECTIONS):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(self._listener.getsockname())
+            self._queued.append(sock)
+
+    async def _accept_again(self) -> None:
+        if self._listener is not None:
+            await self._listen()
+
+    def _close_server(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def _close_queued(self) -> None:
+        while self._queued:
+            self._queued.pop().close()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
--- a/packages/testing/src/nutmegdrum_testing/soak/__main__.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/__main__.py
@@ -4,13 +4,17 @@
 import random
 import secrets
 import sys
+from contextlib import nullcontext
 from pathlib import Path
 
 from nutmegdrum_testing.processes import Processes
-from nutmegdrum_testing.soak.faults import Faults
+from nutmegdrum_testing.soak.faults import CHANGES, Faults
 from nutmegdrum_testing.soak.world import ENTRIES, SoakWorld
 
 FAULTS_S = 8.0
+CHANGES_S = 5.0
+"""Duration of all faults, and of silences beside changes after them."""
+
 FRESH_SEED_BITS = 31
 
 
@@ -19,6 +23,7 @@
     seconds: float = FAULTS_S,
     entries: int = ENTRIES,
     other_build: Path | None = None,
+    silences: bool = False,
 ) -> list[str]:
     """Play one seed and return the problems found; if there are any, the logs are kept.
 
@@ -30,22 +35,31 @@
         Number of entry daemons.
     other_build : Path or None
         Checkout of another build, which some starts of daemons take.
+    silences : bool
+        Whether sound backend servers fall silent beside the faults, and once more beside changes
+        and restarts after them.
     """
     with Processes() as processes:
-        world = SoakWorld(seed, processes, entries, other_build)
+        world = SoakWorld(seed, processes, entries, other_build, silences)
         problems = world.callers.problems
         faults = Faults(world, random.Random(seed + 2))
         try:
             world.start()
-            faults.run(seconds)
+            with world.silences.running() if silences else nullcontext():
+                faults.run(seconds)
             world.check_recovery()
+            if silences:
+                with world.silences.running():
+                    faults.run(CHANGES_S, CHANGES)
             world.callers.stop()
             world.callers.check_runs()
+            problems.extend(world.silences.problems(world.replaced_at_s))
         except Exception as exc:
             problems.append(f"the soak was aborted: {exc!r}")
         outcomes = dict(sorted(world.callers.outcomes.items()))
         print(
             f"seed {seed}: {len(problems)} problems; {len(faults.injected)} faults; "
+            f"{len(world.silences.played)} silences; "
             f"{world.starts()}; roll-outs {world.roll_outs.results}; {outcomes}"
         )
         if problems:
@@ -78,9 +92,16 @@
         metavar="DIR",
         help="checkout of another build, installed there, that half of the daemons' starts take",
     )
+    parser.add_argument(
+        "--silences", action="store_true", help="let sound backend servers fall silent"
+    )
     args = parser.parse_args()
     seeds = args.seeds + [secrets.randbits(FRESH_SEED_BITS) for _ in range(args.fresh)]
-    failed = [seed for seed in seeds if play(seed, args.seconds, args.entries, args.other_build)]
+    failed = [
+        seed
+        for seed in seeds
+        if play(seed, args.seconds, args.entries, args.other_build, args.silences)
+    ]
     print(f"{len(seeds)} seeds, failed: {failed or 'none'}")
     sys.exit(bool(failed))
 
--- a/packages/testing/src/nutmegdrum_testing/soak/callers.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/callers.py
@@ -7,10 +7,12 @@
 import time
 from collections import Counter
 from enum import Enum
+from typing import NamedTuple
 
 from nutmegdrum.units import Address
 
 from nutmegdrum_testing.relay_world import HOST, KEY
+from nutmegdrum_testing.soak.disturbances import entry_target
 from nutmegdrum_testing.soak.engines import EVENTS, Engines, token
 
 DEADLINE_MS = 1_500
@@ -27,6 +29,30 @@
     STREAM = "stream"
 
 
+class Sent(NamedTuple):
+    """Request that has ended, with monotonic times in s.
+
+    Attributes
+    ----------
+    entry : str
+        Entry VM, as the target of disturbances.
+    outcome : str
+        Status, or name of the exception.
+    """
+
+    request_id: str
+    entry: str
+    began_s: float
+    ended_s: float
+    deadline_s: float
+    outcome: str
+
+    @property
+    def took_s(self) -> float:
+        """Return the duration in s."""
+        return self.ended_s - self.began_s
+
+
 class Callers:
     """Threads that each send requests one after the other until they are stopped.
 
@@ -34,9 +60,25 @@
     ----------
     entries : list of Address
         Entry VMs, each behind a link.
+    stream_deadline_ms : int
+        Time for a stream in ms.
+
+    Attributes
+    ----------
+    sent_streams : list of Sent
+        Streams that have ended.
     """
 
-    def __init__(self, entries: list[Address], engines: Engines, seed: int, count: int):
+    def __init__(
+        self,
+        entries: list[Address],
+        engines: Engines,
+        seed: int,
+        count: int,
+        stream_deadline_ms: int = DEADLINE_MS,
+    ):
+        self._deadlines_ms = dict.fromkeys(Kind, DEADLINE_MS) | {Kind.STREAM: stream_deadline_ms}
+        self.sent_streams: list[Sent] = []
         self._entries = entries
         self._engines = engines
         self._ids = itertools.count(1)
@@ -76,12 +118,22 @@
         while not self._stopped.is_set():
             kind = rng.choice(list(Kind))
             request_id = f"{kind.value}-{next(self._ids)}"
-            started = time.monotonic()
-            outcome = self.call(kind, request_id, rng.choice(self._entries))
-            took = time.monotonic() - started
+            began_s = time.monotonic()
+            address = rng.choice(self._entries)
+            outcome = self.call(kind, request_id, address)
+            sent = Sent(
+                request_id,
+                entry_target(self._entries.index(address)),
+                began_s,
+                time.monotonic(),
+                self._deadlines_ms[kind] / 1_000,
+                outcome,
+            )
             self.outcomes[f"{kind.value} {outcome}"] += 1
-            if took > DEADLINE_MS / 1_000 + ANSWER_SLACK_S and self.faults_ended:
-                self.problems.append(f"{request_id} took {took:.1f} s: {outcome}")
+            if kind is Kind.STREAM:
+                self.sent_streams.append(sent)
+            if sent.took_s > sent.deadline_s + ANSWER_SLACK_S and self.faults_ended:
+                self.problems.append(f"{request_id} took {sent.took_s:.1f} s: {outcome}")
 
     def call(
         self,
@@ -97,7 +149,7 @@
             "Host": HOST,
             "X-Id": request_id,
             "X-Key": KEY,
-            "X-Deadline": str(DEADLINE_MS),
+            "X-Deadline": str(self._deadlines_ms[kind]),
             "X-Prompt": "400",
             "X-Output": "100",
             "X-Parts": parts,
--- a/packages/testing/src/nutmegdrum_testing/soak/engines.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/engines.py
@@ -14,6 +14,7 @@
 from nutmegdrum_testing.link import Link, Network
 from nutmegdrum_testing.relay_world import SERVICE
 from nutmegdrum_testing.scripted_backend import Received, ScriptedBackend
+from nutmegdrum_testing.soak.disturbances import SERVERS, Disturbances
 
 EVENTS = 12
 EVENT_PERIOD_S = 0.03
@@ -37,9 +38,21 @@
 
 
 class Engines:
-    """All backend servers, the platform's list of them, and counts of runs; thread-safe."""
-
-    def __init__(self, network: Network, rng: random.Random, count: int):
+    """All backend servers, the platform's list of them, and counts of runs; thread-safe.
+
+    Attributes
+    ----------
+    disturbances : Disturbances
+        Records the faults that hit requests, those of single requests included.
+    arrivals : list of tuple
+        Monotonic time in s and id of each request that a backend server received.
+    """
+
+    def __init__(
+        self, network: Network, rng: random.Random, count: int, disturbances: Disturbances
+    ):
+        self.disturbances = disturbances
+        self.arrivals: list[tuple[float, str]] = []
         self._network = network
         self._rng = rng
         self._lock = threading.Lock()
@@ -78,9 +91,10 @@
 
     def crash(self) -> None:
         """Crash a random backend server and start a replacement."""
-        with self._lock:
-            crashed = self._serving.pop(self._rng.randrange(len(self._serving)))
-        self._replace(*crashed)
+        with self.disturbances.during(SERVERS):
+            with self._lock:
+                crashed = self._serving.pop(self._rng.randrange(len(self._serving)))
+            self._replace(*crashed)
 
     def _replace(self, entry: ListedBackend, backend: ScriptedBackend, link: Link) -> None:
         """Stop a backend server that is no longer listed and start a replacement."""
@@ -110,9 +124,10 @@
         with self._lock:
             stopped = [each for each in self._serving if is_selected(each[0].version)]
             self._serving = [each for each in self._serving if not is_selected(each[0].version)]
-        for _, backend, link in stopped:
-            link.reset()
-            backend.stop()
+        with self.disturbances.during(SERVERS):
+            for _, backend, link in stopped:
+                link.reset()
+                backend.stop()
 
     def links(self) -> list[Link]:
         """Return the links to the backend servers."""
@@ -166,6 +181,10 @@
             if version in self._bad_versions and self._rng.random() < BAD_FAILURES:
                 fault = "failure"
                 self._record_time(self.failed_at_s, version)
+            with self._lock:
+                self.arrivals.append((time.monotonic(), request_id))
+            if fault:
+                self.disturbances.add_request(request_id)
         if received.target == "/x-report":
             received.answer(200)
         elif received.body == CRASHING_BODY or DEADLY_PART in received.headers.get("x-parts", ""):
--- a/packages/testing/src/nutmegdrum_testing/soak/faults.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/faults.py
@@ -3,9 +3,22 @@
 import random
 import threading
 import time
-from collections.abc import Callable
-
-from nutmegdrum_testing.soak.world import SoakWorld
+from collections.abc import Callable, Collection
+
+from nutmegdrum_testing.link import Link
+from nutmegdrum_testing.soak.disturbances import SERVERS, entry_target
+from nutmegdrum_testing.soak.world import Daemon, SoakWorld
+
+CHANGES = (
+    "restart entry",
+    "kill replica",
+    "restart replica",
+    "new document",
+    "documents in a row",
+    "settings of entry",
+    "settings of replica",
+)
+"""Faults that are no trouble to callers of other entry VMs."""
 
 MIN_PAUSE_S, MAX_PAUSE_S = 0.2, 1.2
 
@@ -19,20 +32,20 @@
         self.injected: list[str] = []
         self._locks: dict[str, threading.Lock] = {}
         self._actions: dict[str, Callable[[], None]] = {
-            "kill entry": lambda: self._entry().kill(),
-            "restart entry": lambda: self._entry().restart(),
-            "pause entry": lambda: self._entry().pause(self._short_s()),
-            "cut off entry": lambda: self._entry().cut_off(self._short_s()),
+            "kill entry": lambda: self._disturb_entry(lambda e: e.kill()),
+            "restart entry": lambda: self._disturb_entry(lambda e: e.restart()),
+            "pause entry": lambda: self._disturb_entry(lambda e: e.pause(self._short_s())),
+            "cut off entry": lambda: self._disturb_entry(lambda e: e.cut_off(self._short_s())),
             "kill replica": lambda: self._replica().kill(),
             "restart replica": lambda: self._replica().restart(),
             "pause replica": lambda: self._replica().pause(self._short_s()),
             "kill all replicas": self._kill_all_replicas,
             "crash engine": world.engines.crash,
             "limit engines": self._limit,
-            "silence engine": lambda: self._silence(world.engines.links()),
-            "reset engine": lambda: rng.choice(world.engines.links()).reset(),
-            "silence callers": lambda: self._silence(world.entry_links),
-            "reset callers": lambda: rng.choice(world.entry_links).reset(),
+            "silence engine": lambda: self._disturb_engine(self._silence),
+            "reset engine": lambda: self._disturb_engine(lambda link: link.reset()),
+            "silence callers": lambda: self._disturb_callers(self._silence),
+            "reset callers": lambda: self._disturb_callers(lambda link: link.reset()),
             "new document": lambda: world.operator.put_next(),
             "documents in a row": self._documents,
             "roll out": world.roll_outs.play,
@@ -40,12 +53,18 @@
             "settings of replica": lambda: self._replica().change_settings(rng.random() < 0.5),
         }
 
-    def run(self, seconds: float) -> None:
-        """Inject faults for `seconds`, each on a thread of its own so that they overlap."""
+    def run(self, seconds: float, kinds: Collection[str] = ()) -> None:
+        """Inject faults for `seconds`, each on a thread of its own so that they overlap.
+
+        Parameters
+        ----------
+        kinds : collection of str
+            Kinds to draw from; all by default.
+        """
         until = time.monotonic() + seconds
         threads = []
         while time.monotonic() < until:
-            kind = self._rng.choice(list(self._actions))
+            kind = self._rng.choice(list(kinds or self._actions))
             self.injected.append(kind)
             thread = threading.Thread(target=self._inject, args=(kind,), daemon=True)
             thread.start()
@@ -67,10 +86,24 @@
         group = kind.split()[-1].rstrip("s")
         return self._locks.setdefault(group, threading.Lock())
 
-    def _entry(self):
+    def _entry(self) -> Daemon:
         return self._rng.choice(self._world.entries)
 
-    def _replica(self):
+    def _disturb_entry(self, fault: Callable[[Daemon], None]) -> None:
+        number = self._rng.randrange(len(self._world.entries))
+        with self._world.disturbances.during(entry_target(number)):
+            fault(self._world.entries[number])
+
+    def _disturb_callers(self, fault: Callable[[Link], None]) -> None:
+        number = self._rng.randrange(len(self._world.entry_links))
+        with self._world.disturbances.during(entry_target(number)):
+            fault(self._world.entry_links[number])
+
+    def _disturb_engine(self, fault: Callable[[Link], None]) -> None:
+        with self._world.disturbances.during(SERVERS):
+            fault(self._rng.choice(self._world.engines.links()))
+
+    def _replica(self) -> Daemon:
         return self._rng.choice(self._world.replicas)
 
     def _short_s(self) -> float:
@@ -80,16 +113,16 @@
         for replica in self._world.replicas:
             replica.kill()
 
-    def _silence(self, links) -> None:
-        link = self._rng.choice(links)
+    def _silence(self, link: Link) -> None:
         link.silence()
         time.sleep(self._short_s())
         link.heal()
 
     def _limit(self) -> None:
-        self._world.engines.limit_per_s = self._rng.uniform(2.0, 20.0)
-        time.sleep(self._short_s())
-        self._world.engines.limit_per_s = None
+        with self._world.disturbances.during(SERVERS):
+            self._world.engines.limit_per_s = self._rng.uniform(2.0, 20.0)
+            time.sleep(self._short_s())
+            self._world.engines.limit_per_s = None
 
     def _documents(self) -> None:
         for _ in range(5):
--- a/packages/testing/src/nutmegdrum_testing/soak/world.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/world.py
@@ -14,11 +14,13 @@
 
 from nutmegdrum_testing.link import Network
 from nutmegdrum_testing.processes import Processes, RunningProcess, free_ports
-from nutmegdrum_testing.soak.callers import Callers, Kind
+from nutmegdrum_testing.soak.callers import DEADLINE_MS, Callers, Kind
 from nutmegdrum_testing.soak.daemon import CUT_OFF_SUFFIX
+from nutmegdrum_testing.soak.disturbances import Disturbances
 from nutmegdrum_testing.soak.documents import DEPLOYMENT, IN_FORCE_S, Operator
 from nutmegdrum_testing.soak.engines import CRASHING_BODY, DEADLY_PART, Engines
 from nutmegdrum_testing.soak.rollouts import RollOuts
+from nutmegdrum_testing.soak.silences import Silences
 from nutmegdrum_testing.waiting import wait_for
 
 REPLICAS = 3
@@ -51,6 +53,9 @@
 """Calls to an entry VM that is cut off from all engines, and the share that must be served; the
 users' bound is two thirds of what the others serve."""
 
+SILENT_DEADLINE_MS = 4_500
+"""Time in ms for a stream that may run into silences of backend servers."""
+
 STOP_S = 20.0
 """Time-out in s of a daemon's shutdown, several times `entry.stop_within`."""
 
@@ -176,6 +181,13 @@
         Number of entry daemons.
     other_build : Path or None
         Checkout of another build, which some starts of daemons take.
+    has_silences : bool
+        Whether backend servers fall silent, so that streams need more time.
+
+    Attributes
+    ----------
+    replaced_at_s : float
+        Monotonic time in s since which all daemons are of this build.
     """
 
     def __init__(
@@ -184,13 +196,16 @@
         processes: Processes,
         entries: int = ENTRIES,
         other_build: Path | None = None,
+        has_silences: bool = False,
     ):
         self._seed = seed
         self._other_build = other_build
         self.folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.rng = random.Random(seed)
         self.network = Network()
-        self.engines = Engines(self.network, random.Random(seed + 1), ENGINES)
+        self.disturbances = Disturbances()
+        rng = random.Random(seed + 1)
+        self.engines = Engines(self.network, rng, ENGINES, self.disturbances)
         self._processes = processes
         peers, operators, metrics, callers, ready = free_ports(5)
         replicas = [f"127.0.0.{i + 1}" for i in range(REPLICAS)]
@@ -214,9 +229,11 @@
         self.entry_links = [self.network.link(address) for address in self.entry_addresses]
         self.operator = Operator([Address(f"{host}:{peers}") for host in replicas])
         self.roll_outs = RollOuts(self.engines, self.operator, random.Random(seed + 3))
-        self.callers = Callers(
-            [Address(link.address) for link in self.entry_links], self.engines, seed, CALLERS
-        )
+        addresses = [Address(link.address) for link in self.entry_links]
+        deadline_ms = SILENT_DEADLINE_MS if has_silences else DEADLINE_MS
+        self.callers = Callers(addresses, self.engines, seed, CALLERS, deadline_ms)
+        self.silences = Silences(self.engines, self.callers, random.Random(seed + 4))
+        self.replaced_at_s = 0.0
 
     def _daemon(self, host: str, role: str, peers: int, metrics: int, listen: dict) -> Daemon:
         settings = {
@@ -304,6 +321,7 @@
                     "the newest document is in force after a replacement",
                     lambda: self._in_force(self.operator.acknowledged),
                 )
+                self.replaced_at_s = time.monotonic()
 
     def _check_rollouts(self) -> None:
         self.callers.problems.extend(self.roll_outs.problems)
--- a/packages/testing/tests/test_link.py
+++ b/packages/testing/tests/test_link.py
@@ -42,9 +42,12 @@
     return network.link(echo)
 
 
-def connect(link):
+def connect(link, sock=None):
     host, _, port = link.address.rpartition(":")
-    return socket.create_connection((host, int(port)), timeout=5)
+    if sock is None:
+        return socket.create_connection((host, int(port)), timeout=5)
+    sock.connect((host, int(port)))
+    return sock
 
 
 class TestLink:
@@ -90,6 +93,33 @@
             conn.sendall(b"b")
             assert conn.recv(100) == b"b"
 
+    def test_hanging_link_leaves_connection_attempts_and_bytes_until_the_silence_ends(self, link):
+        with connect(link) as conn, socket.socket() as late:
+            conn.sendall(b"a")
+            assert conn.recv(100) == b"a"
+            link.hang()
+            conn.sendall(b"b")
+            for sock in (conn, late):
+                sock.settimeout(0.2)
+            with pytest.raises(TimeoutError):
+                conn.recv(100)
+            with pytest.raises(TimeoutError):
+                connect(link, late)
+            link.end_silence()
+            conn.settimeout(5)
+            assert conn.recv(100) == b"b"
+        with connect(link) as conn:
+            conn.sendall(b"c")
+            assert conn.recv(100) == b"c"
+
+    @pytest.mark.parametrize("silence", ["silence", "hang"])
+    def test_a_silence_that_ends_leaves_a_refusing_link_refusing(self, link, silence):
+        getattr(link, silence)()
+        link.refuse()
+        link.end_silence()
+        with pytest.raises(ConnectionError):
+            connect(link).close()
+
     def test_delay_postpones_each_chunk(self, link):
         link.delay(100)
         with connect(link) as conn:
