--- a/packages/testing/src/nutmegdrum_testing/soak/silences.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/silences.py
@@ -76,7 +76,8 @@
                 link.hang()
             else:
                 link.silence()
-        time.sleep(self._rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S))
+        until_s = began_s + self._rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
+        time.sleep(max(0.0, until_s - time.monotonic()))
         for link in silent:
             link.end_silence()
         self.played.append(Silence(began_s, time.monotonic(), count, len(links)))
