Send SIGHUP only to daemons of the soak that wait for signals

A SIGHUP 50 ms after the start ends a daemon with status -1 and no output, as it ends any interpreter that has not run the first line, and nothing starts the process again. The fault now waits until the daemon has blocked the signal, and a daemon that ended by itself is a problem of its own.

--- a/packages/testing/src/nutmegdrum_testing/processes.py
+++ b/packages/testing/src/nutmegdrum_testing/processes.py
@@ -122,6 +122,14 @@
         """Send SIGUSR1, on which a process with a handler writes its threads' stacks."""
         os.kill(self.pid, signal.SIGUSR1)
 
+    def blocks(self, signum: signal.Signals) -> bool:
+        """Return whether the process has blocked a signal, to wait for it, or has ended."""
+        if self.exit_code is not None:
+            return True
+        lines = Path(f"/proc/{self.pid}/status").read_text().splitlines()
+        mask = next(int(line.split()[1], 16) for line in lines if line.startswith("SigBlk:"))
+        return bool(mask >> (signum - 1) & 1)
+
     def hang_up(self) -> None:
         """Send SIGHUP, on which a daemon reloads its settings file."""
         os.kill(self.pid, signal.SIGHUP)
--- a/packages/testing/src/nutmegdrum_testing/soak/world.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/world.py
@@ -2,6 +2,7 @@
 
 import random
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -108,6 +109,7 @@
 
     def __init__(self, processes: Processes, settings: Path, log: Path, builds: Builds):
         self._processes = processes
+        self.name = settings.stem
         self.builds = builds
         self._settings = settings
         self._log = log
@@ -138,6 +140,9 @@
 
     def change_settings(self, signalled: bool) -> None:
         """Rewrite the settings file, first truncated, then whole; with SIGHUPs if `signalled`."""
+        # A signal ends an interpreter that has not run the daemon's first line yet, and no platform
+        # starts it again here.
+        wait_for(lambda: self.process.blocks(signal.SIGHUP), STOP_S)
         data = self._settings.read_bytes()
         self._settings.write_bytes(data[: len(data) // 2])
         if signalled:
@@ -279,6 +284,7 @@
             entry.is_cut_off = False
         for link in (*self.entry_links, *self.engines.links()):
             link.heal()
+        self._check_running()
         acknowledged = self.operator.acknowledged
         self._expect("a leader returns a document", lambda: self.operator.newest() is not None)
         newest = self.operator.newest()
@@ -311,6 +317,12 @@
         if not self._in_force(version):
             self.callers.problems.append(f"version {version} is not in force in time")
 
+    def _check_running(self) -> None:
+        for daemon in (*self.entries, *self.replicas):
+            code = daemon.process.exit_code
+            if code is not None:
+                self.callers.problems.append(f"{daemon.name} ended by itself with status {code}")
+
     def _end_replacement(self) -> None:
         """Replace the daemons of the other build, which need not know limits or cuts."""
         for daemon in (*self.entries, *self.replicas):
