--- a/packages/testing/src/nutmegdrum_testing/processes.py
+++ b/packages/testing/src/nutmegdrum_testing/processes.py
@@ -51,6 +51,15 @@
     return path.open("ab")
 
 
+def _blocked(status: Path) -> int:
+    """Return the mask of blocked signals in the status file of a thread; 0 if it has ended."""
+    try:
+        lines = status.read_text().splitlines()
+    except (FileNotFoundError, ProcessLookupError):
+        return 0
+    return next(int(line.split()[1], 16) for line in lines if line.startswith("SigBlk:"))
+
+
 class RunningProcess:
     """One running process.
 
@@ -126,9 +135,9 @@
         """Return whether the process has blocked a signal, to wait for it, or has ended."""
         if self.exit_code is not None:
             return True
-        lines = Path(f"/proc/{self.pid}/status").read_text().splitlines()
-        mask = next(int(line.split()[1], 16) for line in lines if line.startswith("SigBlk:"))
-        return bool(mask >> (signum - 1) & 1)
+        # A thread that waits for a signal does not block it meanwhile; the others do.
+        threads = Path(f"/proc/{self.pid}/task").glob("*/status")
+        return any(_blocked(status) >> (signum - 1) & 1 for status in threads)
 
     def hang_up(self) -> None:
         """Send SIGHUP, on which a daemon reloads its settings file."""
