--- a/packages/testing/src/nutmegdrum_testing/link.py
+++ b/packages/testing/src/nutmegdrum_testing/link.py
@@ -5,7 +5,7 @@
 import struct
 import threading
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from enum import Enum
 from typing import Any, TypeVar
 
@@ -51,6 +51,10 @@
         """Run `task` in the loop and return its result."""
         return asyncio.run_coroutine_threadsafe(task, self._loop).result(10.0)
 
+    def end_silences(self, links: Sequence["Link"]) -> None:
+        """End the silences of several links at once."""
+        self.run(_go_on(links))
+
     def close(self) -> None:
         """Close all links and stop the thread."""
         for link in self._links:
@@ -60,6 +64,11 @@
         self._loop.close()
 
 
+async def _go_on(links: Sequence["Link"]) -> None:
+    for link in links:
+        await link.go_on()
+
+
 class Link:
     """One forwarded address.
 
@@ -108,8 +117,13 @@
 
     def end_silence(self) -> None:
         """Forward bytes again and accept connections, unless the link refuses them."""
+        self._network.run(self.go_on())
+
+    async def go_on(self) -> None:
+        """End a silence; must run in the network's event loop."""
         self._silent = set()
-        self._network.run(self._accept_again())
+        if self._listener is not None:
+            await self._listen()
 
     def delay(self, ms: int) -> None:
         """Delay each chunk of bytes by `ms` in both directions."""
@@ -165,10 +179,6 @@
             sock.connect_ex(self._listener.getsockname())
             self._queued.append(sock)
 
-    async def _accept_again(self) -> None:
-        if self._listener is not None:
-            await self._listen()
-
     def _close_server(self) -> None:
         if self._server is not None:
             self._server.close()
--- a/packages/testing/src/nutmegdrum_testing/soak/__main__.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/__main__.py
@@ -59,7 +59,7 @@
         outcomes = dict(sorted(world.callers.outcomes.items()))
         print(
             f"seed {seed}: {len(problems)} problems; {len(faults.injected)} faults; "
-            f"{len(world.silences.played)} silences; "
+            f"{world.silences.summary()}; "
             f"{world.starts()}; roll-outs {world.roll_outs.results}; {outcomes}"
         )
         if problems:
--- a/packages/testing/src/nutmegdrum_testing/soak/silences.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/silences.py
@@ -8,6 +8,7 @@
 from contextlib import contextmanager
 from typing import NamedTuple
 
+from nutmegdrum_testing.link import Network
 from nutmegdrum_testing.soak.callers import Callers, Sent
 from nutmegdrum_testing.soak.disturbances import SERVERS
 from nutmegdrum_testing.soak.engines import Engines
@@ -42,7 +43,8 @@
         Draws servers, durations and pauses, and whether a silent server accepts connections.
     """
 
-    def __init__(self, engines: Engines, callers: Callers, rng: random.Random):
+    def __init__(self, network: Network, engines: Engines, callers: Callers, rng: random.Random):
+        self._network = network
         self._engines = engines
         self._callers = callers
         self._rng = rng
@@ -78,10 +80,14 @@
                 link.silence()
         until_s = began_s + self._rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
         time.sleep(max(0.0, until_s - time.monotonic()))
-        for link in silent:
-            link.end_silence()
+        self._network.end_silences(silent)
         self.played.append(Silence(began_s, time.monotonic(), count, len(links)))
 
+    def summary(self) -> str:
+        """Return the number of silences so far, and the longest."""
+        longest_s = max((each.ended_s - each.began_s for each in self.played), default=0.0)
+        return f"{len(self.played)} silences up to {longest_s:.2f} s"
+
     def problems(self, since_s: float) -> list[str]:
         """Return what callers noticed of the silences since a monotonic time in s."""
         lost = [
--- a/packages/testing/src/nutmegdrum_testing/soak/world.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/world.py
@@ -237,7 +237,7 @@
         addresses = [Address(link.address) for link in self.entry_links]
         deadline_ms = SILENT_DEADLINE_MS if has_silences else DEADLINE_MS
         self.callers = Callers(addresses, self.engines, seed, CALLERS, deadline_ms)
-        self.silences = Silences(self.engines, self.callers, random.Random(seed + 4))
+        self.silences = Silences(self.network, self.engines, self.callers, random.Random(seed + 4))
         self.replaced_at_s = 0.0
 
     def _daemon(self, host: str, role: str, peers: int, metrics: int, listen: dict) -> Daemon:
--- a/packages/testing/tests/test_soak.py
+++ b/packages/testing/tests/test_soak.py
@@ -30,9 +30,8 @@
     def __init__(self, *streams, arrivals=()):
         self.disturbances = Disturbances()
         engines = SimpleNamespace(disturbances=self.disturbances, arrivals=list(arrivals))
-        self.silences = Silences(
-            engines, SimpleNamespace(sent_streams=list(streams)), random.Random(1)
-        )
+        callers = SimpleNamespace(sent_streams=list(streams))
+        self.silences = Silences(None, engines, callers, random.Random(1))
         self.silences.played.append(SILENCE)
 
     def problems(self, since_s=0.0):
