--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -1,7 +1,6 @@
 """Single attempts to send a request to a backend server, with their accounting."""
 
 import random
-from dataclasses import dataclass
 
 from nutmegdrum.bounded_http import Extend, give_up
 from nutmegdrum.permits import Permits
@@ -11,6 +10,8 @@
 from nutmegdrum_coord.verdict import Refusal
 from prometheus_client import Counter
 
+from nutmegdrum_relay.attempt import Attempt, AttemptLost
+from nutmegdrum_relay.attempt_tally import AttemptTally
 from nutmegdrum_relay.backends import Backend, Backends
 from nutmegdrum_relay.crash_watch import BEGINNING, BrokenAttempt, CrashWatch
 from nutmegdrum_relay.decisions import log_decision
@@ -33,12 +34,8 @@
     UpstreamPool,
 )
 from nutmegdrum_relay.version_gate import VersionGate
-from nutmegdrum_relay.version_tally import FirstEventWait, TallyKey
 from nutmegdrum_relay.views import NO_WORK, Work
 
-FAILED_STATUS = 500
-"""Lowest HTTP status that counts as a failure of the backend server."""
-
 BODY_GRACE = Duration(150)
 """Extra time after the deadline to read the rest of an answer that has begun, so that finished
 answers are still delivered; requests may be held 250 ms too long (the users' price list)."""
@@ -52,26 +49,6 @@
 )
 
 
-class AttemptLost(Exception):
-    """Raised when an attempt ends without an answer that can be forwarded.
-
-    Attributes
-    ----------
-    aborted : AbortReason or None
-        Why this VM ended it; None if it did not.
-    """
-
-    def __init__(self, loss: Loss, detail: str = "", aborted: AbortReason | None = None):
-        super().__init__(detail or loss.value)
-        self.loss = loss
-        self.aborted = aborted
-
-    @property
-    def reason(self) -> str:
-        """Return the loss, or why this VM ended the attempt."""
-        return self.loss.value if self.aborted is None else self.aborted.value
-
-
 def log_attempt_lost(
     pending: PendingRequest, backend: Backend, lost: AttemptLost, **more: object
 ) -> None:
@@ -94,39 +71,6 @@
     return Work(0, pending.demand.tokens, copied=pending.demand.tokens)
 
 
-@dataclass(eq=False)
-class Attempt:
-    """An attempt whose response headers have arrived.
-
-    Attributes
-    ----------
-    tally_key : TallyKey or None
-        Service, route and version that it counts for; None outside a trial.
-    wait : FirstEventWait or None
-        Its wait for the first event; None if that wait does not count.
-    sent_ms, first_data_ms, last_data_ms : int
-        Elapsed time in ms when it was sent, and when the first and the last chunk of its stream
-        arrived.
-    events : int
-        Complete events of its stream received so far.
-    past_beginning : bool
-        Whether its answer got past its beginning, on which deadly parts crash the engine.
-    """
-
-    backend: Backend
-    exchange: Exchange
-    answer: AnswerHead
-    copy: Backend | None = None
-    work: Work = NO_WORK
-    tally_key: TallyKey | None = None
-    wait: FirstEventWait | None = None
-    sent_ms: int = 0
-    first_data_ms: int | None = None
-    last_data_ms: int | None = None
-    events: int = 0
-    past_beginning: bool = False
-
-
 class Attempts:
     """Sends requests to backend servers; thread-safe.
 
@@ -166,7 +110,7 @@
         self._upstream = upstream
         self._running = running
         self._shared = shared
-        self._gate = gate
+        self._tally = AttemptTally(clock, gate)
         self._crash_watch = crash_watch
 
     def may_resend(self, pending: PendingRequest) -> bool:
@@ -219,14 +163,14 @@
         # Count it before connecting, as other entry VMs place requests in the meantime.
         self._backends.add(backend, work)
         self._report_changed(work)
-        tally_key = self._gate.tally_key(pending.route.name, backend)
+        tally_key = self._tally.key(pending, backend)
         sent_ms = self._clock.elapsed_ms()
-        wait = self._begin_wait(backend, tally_key, sent_ms)
+        wait = self._tally.begin_wait(backend, tally_key, sent_ms)
         try:
             exchange = self._open(pending, backend)
         except AttemptLost as lost:
-            self._end_wait(wait, answered=False)
-            self._tally_loss(pending, tally_key, lost)
+            self._tally.end_wait(wait, answered=False)
+            self._tally.on_loss(pending, tally_key, lost)
             self._backends.remove(backend, work)
             self._report_changed(work)
             raise
@@ -265,14 +209,14 @@
             )
             attempt = self._exchange(pending, backend, exchange, headers, timeout, extend)
         except AttemptLost as lost:
-            self._end_wait(wait, answered=False)
-            self._tally_loss(pending, tally_key, lost)
+            self._tally.end_wait(wait, answered=False)
+            self._tally.on_loss(pending, tally_key, lost)
             if lost.loss is Loss.BROKEN and not exchange.aborted:
                 self._report_broken(pending, backend, sent_ms)
             self._end(pending, backend, exchange, work, keep=lost.loss is Loss.NOT_RUN)
             raise
         except Exception:
-            self._end_wait(wait, answered=False)
+            self._tally.end_wait(wait, answered=False)
             self._end(pending, backend, exchange, work, keep=False)
             raise
         attempt.work = work
@@ -418,7 +362,7 @@
             attempt.first_data_ms = self._clock.elapsed_ms()
         if self._clock.elapsed_ms() - attempt.first_data_ms >= BEGINNING:
             self._check_past_beginning(pending, attempt)
-        self._tally_chunk(attempt)
+        self._tally.on_chunk(attempt)
         if attempt.work.unread:
             read = Work(attempt.work.unread, 0)
             attempt.work -= read
@@ -445,8 +389,8 @@
             How the answer was lost, if it was.
         """
         self._backends.on_answer(attempt.backend, failed)
-        self._end_wait(attempt.wait, answered=not failed)
-        self._tally_end(pending, attempt, failed)
+        self._tally.end_wait(attempt.wait, answered=not failed)
+        self._tally.on_end(pending, attempt, failed)
         if not failed:
             self._crash_watch.on_success(pending.fingerprint)
             self._check_past_beginning(pending, attempt)
@@ -486,55 +430,6 @@
             )
         )
 
-    def _begin_wait(
-        self, backend: Backend, tally_key: TallyKey | None, now_ms: int
-    ) -> FirstEventWait | None:
-        # Exclude warming-up servers: their times say nothing about the version.
-        if tally_key is None or backend.listed.warming_up:
-            return None
-        return self._gate.tally.on_sent(tally_key, now_ms)
-
-    def _end_wait(self, wait: FirstEventWait | None, answered: bool) -> None:
-        if wait is not None:
-            self._gate.tally.on_wait_over(wait, self._clock.elapsed_ms(), answered)
-
-    def _tally_loss(
-        self, pending: PendingRequest, tally_key: TallyKey | None, lost: AttemptLost
-    ) -> None:
-        if tally_key is None or pending.caller_gone:
-            return
-        if lost.loss is Loss.SILENT:
-            self._gate.tally.on_error(tally_key, counted=False)
-        elif lost.loss in (Loss.BROKEN, Loss.NOT_SENT):
-            self._gate.tally.on_crash(tally_key, counted=False)
-
-    def _tally_chunk(self, attempt: Attempt) -> None:
-        now_ms = self._clock.elapsed_ms()
-        self._end_wait(attempt.wait, answered=True)
-        if attempt.tally_key is None:
-            pass
-        elif attempt.last_data_ms is None:
-            self._tally_first(attempt, attempt.tally_key, now_ms)
-        else:
-            self._gate.tally.on_gap(attempt.tally_key, now_ms - attempt.last_data_ms)
-        attempt.last_data_ms = now_ms
-
-    def _tally_first(self, attempt: Attempt, tally_key: TallyKey, now_ms: int) -> None:
-        # Exclude warming-up servers: their times say nothing about the version.
-        warm = not attempt.backend.listed.warming_up
-        self._gate.tally.on_first_event(tally_key, now_ms - attempt.sent_ms if warm else None)
-
-    def _tally_end(self, pending: PendingRequest, attempt: Attempt, failed: bool) -> None:
-        if attempt.tally_key is None or pending.caller_gone:
-            return
-        counted = attempt.last_data_ms is not None
-        if attempt.answer.status >= FAILED_STATUS:
-            self._gate.tally.on_error(attempt.tally_key, counted)
-        elif failed:
-            self._gate.tally.on_crash(attempt.tally_key, counted)
-        elif not counted:
-            self._tally_first(attempt, attempt.tally_key, self._clock.elapsed_ms())
-
     def _end(
         self, pending: PendingRequest, backend: Backend, exchange: Exchange, work: Work, keep: bool
     ) -> None:
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -8,7 +8,8 @@
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import BackendId
 
-from nutmegdrum_relay.attempts import FAILED_STATUS, AttemptLost, Attempts, log_attempt_lost
+from nutmegdrum_relay.attempt import FAILED_STATUS, AttemptLost
+from nutmegdrum_relay.attempts import Attempts, log_attempt_lost
 from nutmegdrum_relay.backends import Backend
 from nutmegdrum_relay.callers import Call, CallerDisconnected
 from nutmegdrum_relay.dialect import Headers
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -15,13 +15,8 @@
 from nutmegdrum_coord.ids import BackendId
 from prometheus_client import Counter
 
-from nutmegdrum_relay.attempts import (
-    FAILED_STATUS,
-    Attempt,
-    AttemptLost,
-    Attempts,
-    log_attempt_lost,
-)
+from nutmegdrum_relay.attempt import FAILED_STATUS, Attempt, AttemptLost
+from nutmegdrum_relay.attempts import Attempts, log_attempt_lost
 from nutmegdrum_relay.backends import Backend
 from nutmegdrum_relay.callers import Call, CallerDisconnected
 from nutmegdrum_relay.decisions import log_decision
--- a/packages/relay/tests/test_attempts.py
+++ b/packages/relay/tests/test_attempts.py
@@ -3,7 +3,8 @@
 import pytest
 from nutmegdrum.units import Address, Duration
 from nutmegdrum_coord.clock import ManualClock, SystemClock
-from nutmegdrum_relay.attempts import BODY_GRACE, Attempt, AttemptLost, Attempts
+from nutmegdrum_relay.attempt import Attempt, AttemptLost
+from nutmegdrum_relay.attempts import BODY_GRACE, Attempts
 from nutmegdrum_relay.backends import Backends, Health
 from nutmegdrum_relay.crash_watch import CrashWatch
 from nutmegdrum_relay.documents import RouteKind
--- a/packages/relay/tests/test_unwilling_servers.py
+++ b/packages/relay/tests/test_unwilling_servers.py
@@ -9,7 +9,8 @@
 from nutmegdrum.units import Address, Duration
 from nutmegdrum_coord.clock import ManualClock
 from nutmegdrum_coord.ids import DataCentre
-from nutmegdrum_relay.attempts import AttemptLost, Attempts
+from nutmegdrum_relay.attempt import AttemptLost
+from nutmegdrum_relay.attempts import Attempts
 from nutmegdrum_relay.backends import Backends
 from nutmegdrum_relay.crash_watch import CrashWatch
 from nutmegdrum_relay.documents import RouteKind
