Take and keep permissions of the own gateway for one send only

A permission granted while a recovery waits for another one was overwritten, and the generation ended with the budget charged. One granted after the engine had gone on was kept for any later loss, outside the window that it was counted in. A refused call did not ask again before its deadline. A refusal at the deadline did not say that servers had the request.

--- a/packages/kernel/src/nutmegdrum/attempt_starter.py
+++ b/packages/kernel/src/nutmegdrum/attempt_starter.py
@@ -148,9 +148,15 @@
         model = stream.req.model
         if is_recovery:
             deadline = self._deadline(session)
-            stream.may_send_again = self._resends.wait(
-                model, Resend.RECOVERY, deadline, self._sleep, lambda: session.ended
+            granted = self._resends.wait(
+                model,
+                Resend.RECOVERY,
+                deadline,
+                self._sleep,
+                lambda: session.ended or stream.may_send_again,
             )
+            with session.lock:
+                stream.may_send_again = stream.may_send_again or granted
             if session.ended:
                 raise v.Refusal(v.CANCELLED, v.Verdict.MAY_HAVE_RUN)
             if not stream.may_send_again:
--- a/packages/kernel/src/nutmegdrum/attempts.py
+++ b/packages/kernel/src/nutmegdrum/attempts.py
@@ -240,7 +240,11 @@
             decision = self._decide(session, attempt, now_ms)
             if decision is not Decision.GIVE_UP:
                 self._record_decision(session, attempt, decision, now_ms)
-            elif self._may_resend is None or session.stream.may_send_again:
+            elif (
+                self._may_resend is None
+                or session.stream.may_send_again
+                or now_ms >= self._hold_deadline(session, attempt)
+            ):
                 self._give_up(session, attempt, now_ms)
             elif not attempt.asking and now_ms >= attempt.ask_from_ms:
                 attempt.asking = True
@@ -279,9 +283,11 @@
     ) -> None:
         now_ms = self._clock.elapsed_ms()
         attempt.ask_from_ms = ElapsedMs(now_ms + ASK_INTERVAL_MS)
-        session.stream.may_send_again = session.stream.may_send_again or granted
         if session.attempt is not attempt or attempt.last_ms != last_ms:
+            # The permission is lost; kept for a later send, it would exceed that window's budget.
             return
+        if granted:
+            session.stream.may_send_again = True
         if granted or now_ms >= self._hold_deadline(session, attempt):
             self._give_up(session, attempt, now_ms)
         else:
--- a/packages/kernel/src/nutmegdrum/idempotent_calls.py
+++ b/packages/kernel/src/nutmegdrum/idempotent_calls.py
@@ -28,6 +28,9 @@
 ATTEMPT_TIMEOUT_MS = 2_000
 """Time-out of an attempt that may be repeated, in ms."""
 
+ASK_INTERVAL_MS = 1_000
+"""Time after a refusal in which a call waits on for its silent server, in ms."""
+
 MAX_ATTEMPTS = 4
 RETRY_AFTER_MS = 1_000
 """Backoff hint of refusals, in ms."""
@@ -66,18 +69,20 @@
     def __init__(self, budget: RetryBudget, service: ServiceName):
         self._budget = budget
         self._service = service
-        self._granted = False
-        self._sent = False
+        self._granted_attempt = 0
+        self._sent_attempt = 0
 
-    def on_sent(self) -> None:
-        """Record that a backend server may have got the call."""
-        self._sent, self._granted = True, False
+    def on_sent(self, attempt: int) -> None:
+        """Record that a backend server may have got an attempt at the call."""
+        self._sent_attempt = attempt
 
     def take(self) -> bool:
-        """Return whether the call may be sent; its first send needs no permission."""
-        if self._sent and not self._granted:
-            self._granted = self._budget.take(self._service, Resend.RETRY)
-        return self._granted or not self._sent
+        """Return whether the call may be sent again; its first send needs no permission."""
+        if self._sent_attempt > self._granted_attempt:
+            if not self._budget.take(self._service, Resend.RETRY):
+                return False
+            self._granted_attempt = self._sent_attempt
+        return True
 
 
 class IdempotentCalls:
@@ -128,7 +133,7 @@
             is_silent = False
             try:
                 last = self._send(choice, call._replace(attempt=attempt), deadline_ms, permission)
-                permission.on_sent()
+                permission.on_sent(attempt)
                 self._guard.on_attempt_end(fingerprint, cleared=True)
                 if last.status not in RETRYABLE_STATUSES:
                     return last
@@ -167,11 +172,11 @@
 
         def longer() -> Duration:
             """Wait on for a silent server, unless the call may be sent to another one."""
-            left_ms = deadline_ms - self._clock.elapsed_ms()
-            permission.on_sent()
-            if left_ms <= 0 or permission.take():
+            permission.on_sent(call.attempt)
+            if self._clock.elapsed_ms() >= deadline_ms or permission.take():
                 return Duration(0)
-            return Duration(left_ms)
+            left_ms = deadline_ms - self._clock.elapsed_ms()
+            return Duration(min(left_ms, ASK_INTERVAL_MS))
 
         try:
             reply = self._sender.send(
@@ -185,8 +190,8 @@
             ok = True
             return reply
         except BackendLost as exc:
-            if exc.sent and exc.kind is not LossKind.SILENT:
-                permission.on_sent()
+            if exc.sent:
+                permission.on_sent(call.attempt)
             self._routing.lost(exc.backend, exc.kind)
             raise
         finally:
--- a/packages/kernel/src/nutmegdrum/plain_http.py
+++ b/packages/kernel/src/nutmegdrum/plain_http.py
@@ -155,6 +155,8 @@
         conn = BoundedConnection(address.host, address.port, self._clock, timeout=timeout_s)
         try:
             _connect(conn, backend.id)
+            # The time-out of each step of sending the request.
+            conn.timeout = max(1, deadline_ms - self._clock.elapsed_ms()) / _MS_PER_S
             if not may_send():
                 raise SendForbidden
             return self._exchange(conn, backend.id, call, deadline_ms, extend)
--- a/packages/kernel/src/nutmegdrum/relay.py
+++ b/packages/kernel/src/nutmegdrum/relay.py
@@ -105,6 +105,7 @@
             if began or session.readers > 1 or len(session.lineage) > 1:
                 return v.Refusal(v.DEADLINE_UNREACHABLE, v.Verdict.MAY_HAVE_RUN)
         refusal = v.Refusal(v.DEADLINE_UNREACHABLE, v.Verdict.NOT_RUN)
+        refusal.sent = session.stream.sent
         self.fail(session, refusal)
         return refusal
 
--- a/packages/kernel/tests/test_attempt_starter.py
+++ b/packages/kernel/tests/test_attempt_starter.py
@@ -1,3 +1,4 @@
+import threading
 from types import SimpleNamespace
 
 import pytest
@@ -38,7 +39,12 @@
         query=lambda **_: RouteQuery(model="none", workspace="w", prompt="p", generation="g"),
     )
     session = SimpleNamespace(
-        stream=stream, last_output_ms=0, lost_at_ms=None, answer_by=None, ended=False
+        stream=stream,
+        last_output_ms=0,
+        lost_at_ms=None,
+        answer_by=None,
+        ended=False,
+        lock=threading.Lock(),
     )
     with pytest.raises(Refusal) as caught:
         starter.begin(session)
--- a/packages/kernel/tests/test_deadlines.py
+++ b/packages/kernel/tests/test_deadlines.py
@@ -107,6 +107,7 @@
             protocol=None,
             routing=SimpleNamespace(choose=lambda query: NO_BACKEND),
             recovery_queue=SimpleNamespace(wait=lambda *_: True),
+            resends=SimpleNamespace(wait=lambda *_: True),
             attempts=SimpleNamespace(report_loss=lambda session: None),
             sleep=lambda s: clock.advance(int(s * 1_000)),
         )
--- a/packages/kernel/tests/test_generation_resends.py
+++ b/packages/kernel/tests/test_generation_resends.py
@@ -270,6 +270,16 @@
         (at_ms, _), (again_ms, _) = vm.engines.sends
         assert 1_000 <= again_ms - at_ms <= 1_400
 
+    def test_a_permission_granted_meanwhile_ends_the_wait_and_is_kept(self, clock):
+        vm = OneVm(clock, 0, LossKind.RESET, LossKind.BUSY, tokens=1)
+        session = session_of(clock)
+        vm.engines.session = session
+        vm.starter.begin(session)
+        vm.on_sleep = lambda: setattr(session.stream, "may_send_again", True)
+        vm.starter.begin(session)
+        assert len(vm.engines.sends) == 2
+        assert clock.elapsed_ms() - START_MS < DEADLINE_MS
+
     def test_a_generation_that_the_caller_cancels_stops_waiting(self, clock):
         vm = OneVm(clock, 0, LossKind.RESET, tokens=1)
         session = session_of(clock)
--- a/packages/kernel/tests/test_silent_engines.py
+++ b/packages/kernel/tests/test_silent_engines.py
@@ -424,3 +424,12 @@
         gateway.play(30_000)
         assert_finished(gateway)
         assert max(gateway.gaps()) <= RESUME_LIMIT_MS
+
+    def test_permission_is_not_kept_for_a_later_loss_if_the_engine_goes_on(self):
+        gateway = Gateway(Engine((2_000, 3_900)), Engine(), may_resend=lambda service: False)
+        gateway.start(1)
+        gateway.play(1_000)
+        (stream,) = gateway.streams
+        attempt = stream.session.attempt
+        gateway.attempts._on_permission(stream.session, attempt, attempt.last_ms - 1, True)
+        assert not stream.session.stream.may_send_again
--- a/packages/kernel/tests/test_silent_services.py
+++ b/packages/kernel/tests/test_silent_services.py
@@ -92,6 +92,22 @@
         assert service.call().status == 200
 
 
+class TestStalledSend:
+    """A server that stops reading ends the send itself, without a time-out of the reply."""
+
+    def test_a_call_whose_send_stalled_is_sent_again_only_with_a_permission(self):
+        service = Service(0, 0, limits=NOTHING)
+
+        def stalls(backend, *_):
+            service.sent.append(backend.id)
+            raise BackendLost(backend.id, LossKind.SILENT, True)
+
+        service.send = stalls
+        with pytest.raises(Refusal):
+            service.call()
+        assert len(service.sent) == 1
+
+
 class TestDeadline:
     @pytest.mark.parametrize("limits", [NOTHING, RetryLimits()], ids=["no-budget", "budget"])
     @pytest.mark.parametrize("servers", [1, 2, 5])
