--- a/packages/kernel/tests/test_mixed_builds.py
+++ b/packages/kernel/tests/test_mixed_builds.py
@@ -15,6 +15,7 @@
 from nutmegdrum.problems import problem_headers, problem_of
 from nutmegdrum.rate_limits import AnnouncedLimit, KnownLimits
 from nutmegdrum.reach import ServiceReach
+from nutmegdrum.resends import Resends
 from nutmegdrum.retries import LEADER_RETRY, Resend, RetryBudget, RetryLimits
 from nutmegdrum.units import Duration
 from nutmegdrum_coord.clock import ManualClock
@@ -22,7 +23,7 @@
 from nutmegdrum_coord.verdict import NO_BACKEND, RETRY_BUDGET_SPENT, Refusal, Verdict
 from nutmegdrum_testing.scripted_backend import ScriptedBackend
 
-LIMITS = RetryLimits(ratio=0.5, shared=10)
+LIMITS = RetryLimits(ratio=0.5, shared=20, leaderless=10)
 
 
 class OldLimit(msgspec.Struct, frozen=True, array_like=True):
@@ -128,7 +129,7 @@
         leader = OldLeader()
         budgets = [self.budget(clock, leader, entry_vms) for _ in range(entry_vms)]
         taken = [sum(b.take("svc", Resend.RECOVERY) for _ in range(50)) for b in budgets]
-        assert taken == [LIMITS.shared // entry_vms] * entry_vms
+        assert taken == [LIMITS.leaderless // entry_vms] * entry_vms
 
     def test_it_is_asked_no_more_often_than_one_that_does_not_answer(self, clock):
         leader = OldLeader()
@@ -143,7 +144,7 @@
     def test_a_new_leader_is_used_as_soon_as_it_answers(self, clock, ledger):
         leaders = [OldLeader().answer, ledger.request]
         ask = ResendRequests(VmId("n1"), lambda request: leaders[0](request))
-        budget = RetryBudget(clock, random.Random(1), ask, RetryLimits(ratio=0.0, shared=0))
+        budget = RetryBudget(clock, random.Random(1), ask, RetryLimits(0.0, 0, 0))
         assert not budget.take("svc", Resend.RECOVERY)
         leaders.pop(0)
         clock.advance(LEADER_RETRY)
@@ -162,7 +163,9 @@
     def passed_on(self, clock, script, req):
         """Return a peer's requests, and the answer of a VM that reaches no server, or None."""
         peer = ScriptedBackend(script)
-        passing_on = PassingOn("n1", clock, random.Random(1), Duration(2_000), ServiceReach(clock))
+        rng = random.Random(1)
+        resends = Resends(RetryBudget(clock, rng))
+        passing_on = PassingOn("n1", clock, rng, Duration(2_000), ServiceReach(clock), resends)
         passing_on.peers = [PeerAddress("n2", peer.address)]
         refusal = Refusal(NO_BACKEND, Verdict.NOT_RUN)
 
