Keep one interval for asking the retry budget again on the own gateway

Idempotent calls repeated the constant of silent generations; the docstring of record_start still said that a start uses up a permission, which on_sent does since the merge.

--- a/packages/kernel/src/nutmegdrum/attempts.py
+++ b/packages/kernel/src/nutmegdrum/attempts.py
@@ -108,7 +108,7 @@
         self._permissions.shutdown(wait=False, cancel_futures=True)
 
     def record_start(self, session: Session, attempt: Attempt) -> None:
-        """Record the start of an attempt, which uses up a permission to send again."""
+        """Record the start of an attempt."""
         req = session.stream.req
         backend = attempt.choice.backend.id
         load = self._routing.load(backend)
--- a/packages/kernel/src/nutmegdrum/idempotent_calls.py
+++ b/packages/kernel/src/nutmegdrum/idempotent_calls.py
@@ -23,14 +23,12 @@
 from nutmegdrum.retries import Resend, RetryBudget
 from nutmegdrum.routing_query import Choice, RouteQuery, Routing
 from nutmegdrum.settings import Settings
+from nutmegdrum.silence import ASK_INTERVAL_MS
 from nutmegdrum.units import Duration
 
 ATTEMPT_TIMEOUT_MS = 2_000
 """Time-out of an attempt that may be repeated, in ms."""
 
-ASK_INTERVAL_MS = 1_000
-"""Time after a refusal in which a call waits on for its silent server, in ms."""
-
 MAX_ATTEMPTS = 4
 RETRY_AFTER_MS = 1_000
 """Backoff hint of refusals, in ms."""
