--- a/review/3/play.py
+++ b/review/3/play.py
@@ -14,7 +14,7 @@
 import harness as h  # noqa: E402
 
 FIRST_NET = 40
-ROUNDS = 3
+ROUNDS = 4
 STATE = [1, 2, 3]
 ENTRIES = [101, 104]
 """Entry VMs of one zone, that of the leaving replica."""
@@ -34,18 +34,6 @@
 PAUSE_S = 0.1
 
 
-class PartRecord:
-    """Record whose lines begin with the name of a part."""
-
-    def __init__(self, record: h.Record, name: str):
-        self._record = record
-        self._name = name
-
-    def write(self, text: str) -> None:
-        """Add a line."""
-        self._record.write(f"{self._name}: {text}")
-
-
 class Clients:
     """Clients that send requests one after the other, on new connections."""
 
@@ -104,7 +92,7 @@
 class Core:
     """The state replicas, of which one at a time is frozen."""
 
-    def __init__(self, deployment: h.Deployment, record: PartRecord):
+    def __init__(self, deployment: h.Deployment, record: h.PartRecord):
         self._deployment = deployment
         self._record = record
         self.led: set[str] = set()
@@ -175,7 +163,7 @@
 
     def __init__(self, number: int, record: h.Record):
         net = f"127.0.{FIRST_NET + number}"
-        self.record = PartRecord(record, f"deployment {number}")
+        self.record = h.PartRecord(record, f"deployment {number}")
         self.deployment = h.Deployment(net, STATE, STATE, entries=ENTRIES)
         self.ready = [h.Replica(net, 51 + n, f"i-ready-{n}", SERVICE) for n in range(2)]
         self.leaving = LeavingReplica(net, 62, "i-leaving", SERVICE)
@@ -228,7 +216,7 @@
 
 
 def _play_freezes(
-    record: PartRecord, deployment: h.Deployment, clients: Clients, leaving: LeavingReplica
+    record: h.PartRecord, deployment: h.Deployment, clients: Clients, leaving: LeavingReplica
 ) -> None:
     core = Core(deployment, record)
     leader = core.leader()
@@ -245,7 +233,7 @@
     record.write(f"{leaving.name} is listed as draining, and says so in its answers")
     h.wait_for(
         lambda: len(clients.first_leaving) == len(ENTRIES),
-        5.0,
+        8.0,
         "answers of the leaving replica, passed on by each entry VM",
     )
     first = max(clients.first_leaving.values())
@@ -260,7 +248,7 @@
     record.write(f"{leaving.name} has left")
 
 
-def _judge(record: PartRecord, clients: Clients, leaving: LeavingReplica) -> bool:
+def _judge(record: h.PartRecord, clients: Clients, leaving: LeavingReplica) -> bool:
     late = 0
     for at, _, _, headers in leaving.ran:
         request_id = headers["request-id"]
