Review case 5: a new leader completes a bad version without evidence

Cause: the evidence on a version is in the leader's memory alone; a leader without any lets the rollout end. Change: a script that kills the leader late in a rollout.

--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,167 +1,278 @@
-"""Case 5: replicas work on for clients that have left, if the body was sent in chunks."""
+"""Case 5: a leader that takes over late in a rollout completes a bad version without evidence."""
 
-import select
-import socket
+import itertools
+import json
+import re
 import sys
 import threading
 import time
 from pathlib import Path
-from typing import NamedTuple
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 import harness as h  # noqa: E402
 
-NET = "127.0.60"
-SERVICE = "llm"
-REQUESTS = 60
-LEAVING_SHARE = 0.3
-CHUNKED_SHARE = 0.5
-LEAVES_AFTER_S = 1.5
-"""The site's days have `give_up` with share 0.3 and x 1500."""
+FIRST_NET = 75
+ROUNDS = 3
+STATE = [1, 2, 3]
+ENTRIES = [101, 102]
+SERVICE = "desk"
+OLD, NEW = "v1", "v2"
+DURATION_S = 15.0
+BAD_FROM_S = 12.6
+BAD_EVERY = 3
+"""From this time after the order on, the new version fails every second request."""
 
-PREFILL_S = 3.0
-"""Time until the first event; 5,000 tokens take 1 s, and two other prompts may be read before."""
+KILL_S = 13.1
+DOWN_S = 1.0
+LIST_EVERY_S = 0.05
+PER_S = 24.0
+"""Requests a second; the site has 23.9."""
 
-STILL_S = 0.5
-ALLOWED_SHARE = 0.25
+SENDERS = 12
 CONTACT_S = 3.0
-START_EVERY_S = 0.2
-BODY = b"x" * 5_000
+BAD_ANSWERS = 50
+ROLLBACK_S = 5.0
+LONGEST_S = 60.0
 
 
-class Left(NamedTuple):
-    """A request whose client has left."""
+class Version:
+    """Replicas of one version, which turn bad at a time.
+
+    Attributes
+    ----------
+    bad_from : float
+        Monotonic time from which on every `BAD_EVERY`-th request fails.
+    """
+
+    def __init__(self, net: str, name: str, first: int):
+        self.name = name
+        self.bad_from = float("inf")
+        self.lock = threading.Lock()
+        self.answers: list[tuple[float, bool]] = []
+        self.arrived: dict[str, float] = {}
+        self._numbers = itertools.count()
+        self.replicas = [h.Replica(net, first + n, f"i-{name}-{n}", SERVICE) for n in range(3)]
+        for replica in self.replicas:
+            replica.listed["version"] = name
+            replica.answer = lambda handler, headers, body, replica=replica: self._answer(
+                replica, handler, headers
+            )
+
+    def _answer(self, replica: h.Replica, handler, headers: dict[str, str]) -> None:
+        now = time.monotonic()
+        with self.lock:
+            bad = now >= self.bad_from and next(self._numbers) % BAD_EVERY == 0
+            self.arrived[headers["request-id"]] = now
+        time.sleep(0.015)
+        handler.reply(500 if bad else 200, replica.sealed(headers), b"bad" if bad else b"good")
+        with self.lock:
+            self.answers.append((time.monotonic(), bad))
+
+    def listed(self) -> list[dict]:
+        """Return the entries of the platform's list."""
+        return [replica.listed for replica in self.replicas]
+
+    def close(self) -> None:
+        """Stop all replicas."""
+        for replica in self.replicas:
+            replica.close()
+
+
+class Clients:
+    """Clients that send requests to the entry VMs in turn, on new connections."""
+
+    def __init__(self, deployment: h.Deployment):
+        self._deployment = deployment
+        self._stopped = threading.Event()
+        self.lock = threading.Lock()
+        self.sent: dict[str, float] = {}
+        self.statuses: dict[int, int] = {}
+        self._threads = [threading.Thread(target=self._send, args=(n,)) for n in range(SENDERS)]
+
+    def start(self) -> None:
+        """Start to send."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop, and wait for the last answers."""
+        self._stopped.set()
+        for thread in self._threads:
+            if thread.ident is not None:
+                thread.join()
+
+    def _send(self, number: int) -> None:
+        entry = self._deployment.entries[number % len(self._deployment.entries)]
+        while not self._stopped.wait(SENDERS / PER_S):
+            request_id = h.new_id()
+            with self.lock:
+                self.sent[request_id] = time.monotonic()
+            status, _, _ = h.request(
+                entry, self._deployment.front, "/unsafe/x", "POST", b"b", Request_Id=request_id
+            )
+            with self.lock:
+                self.statuses[status] = self.statuses.get(status, 0) + 1
 
-    request_id: str
-    chunked: bool
-    at: float
 
+def _leader(deployment: h.Deployment) -> h.Daemon:
+    def found() -> h.Daemon | None:
+        for replica in deployment.replicas:
+            address = (replica.host, deployment.metrics)
+            _, metrics = h.call(address, "GET", "/metrics", timeout_s=0.3)
+            if re.search(rb"^nutmegdrum_log_leads 1", metrics, re.MULTILINE):
+                return replica
+        return None
 
-class Engine(h.Replica):
-    """A model replica that drops a request as soon as its connection is closed.
+    replica = h.wait_for(found, 10.0, "a leader")
+    assert isinstance(replica, h.Daemon)
+    return replica
+
+
+def _state(deployment: h.Deployment) -> str:
+    """Return the state of the rollout, as any node tells it."""
+    for replica in deployment.replicas:
+        address = deployment.control_of(replica)
+        status, body = h.call(address, "GET", f"/Rollouts.Get/{SERVICE}")
+        if status == 200:
+            return json.loads(body)["state"]
+    return ""
+
+
+class Round:
+    """One deployment with one rollout.
+
+    Parameters
+    ----------
+    number : int
+        Number of the deployment, which chooses its addresses.
 
     Attributes
     ----------
-    begun, ended : dict
-        Time at which it began to work on each request, and at which it ended.
+    held : bool or None
+        Whether the bad version got no request too late; None if it could not be played.
     """
 
-    def __init__(self, *args: object, **named: object):
-        self.begun: dict[str, float] = {}
-        self.ended: dict[str, float] = {}
-        super().__init__(*args, **named)
-        self.answer = self._generate
+    def __init__(self, number: int, record: h.Record):
+        net = f"127.0.{FIRST_NET + number}"
+        self.record = h.PartRecord(record, f"deployment {number}")
+        self.deployment = h.Deployment(net, STATE, STATE, entries=ENTRIES)
+        self.old, self.new = Version(net, OLD, 50), Version(net, NEW, 60)
+        self.clients = Clients(self.deployment)
+        self.held: bool | None = None
 
-    def _generate(self, handler, headers: dict[str, str], body: bytes) -> None:
-        request_id = headers["request-id"]
-        self.begun[request_id] = time.monotonic()
-        handler.close_connection = True
+    def play(self) -> None:
+        """Play the round and judge it."""
         try:
-            if not _peer_closes(handler.connection, PREFILL_S):
-                handler.reply(200, self.sealed(headers), b"id: 7\ndata: advice\n\n")
-        finally:
-            self.ended[request_id] = time.monotonic()
+            self._start()
+            unstable_until = _roll_out(self.record, self.deployment, self.old, self.new)
+            self.held = _watch(
+                self.record, self.deployment, self.old, self.new, self.clients, unstable_until
+            )
+        except h.CannotRun as exc:
+            self.record.write(f"cannot run: {exc}")
+        self.clients.stop()
+        self.record.write(f"answers by status: {self.clients.statuses}")
 
+    def _start(self) -> None:
+        self.deployment.platform.listed = self.old.listed()
+        for daemon in (*self.deployment.replicas, *self.deployment.entries):
+            daemon.start()
+        routes = [h.route(h.SAFE, SERVICE), h.route(h.UNSAFE, SERVICE, max_attempts=1)]
+        config = h.configuration(1, routes, [SERVICE])
+        h.replace_config(self.deployment, config, self.record)
+        h.wait_ready(self.deployment, "/safe/x")
+        self.clients.start()
+        time.sleep(CONTACT_S + 1.0)
 
-def _peer_closes(sock: socket.socket, within_s: float) -> bool:
-    return bool(select.select([sock], [], [], within_s)[0])
+    def close(self) -> None:
+        """End the clients and all processes."""
+        self.clients.stop()
+        self.deployment.close()
 
 
 def play(record: h.Record) -> bool:
-    """Play the case; return whether the engines stopped in time for clients that had left."""
-    deployment = h.Deployment(NET, [1, 2, 3], [1, 2, 3], entries=[101])
-    engines = [Engine(NET, 50 + n, f"i-{n}", SERVICE, slots=64) for n in range(3)]
-    left: list[Left] = []
+    """Play all rounds; return whether no bad version got a request too late."""
+    rounds = [Round(number, record) for number in range(ROUNDS)]
     try:
-        deployment.platform.listed = [engine.listed for engine in engines]
-        for daemon in (*deployment.replicas, *deployment.entries):
-            daemon.start()
-        stream = h.route(
-            h.STREAM,
-            SERVICE,
-            timeout_ms=25_000,
-            target_latency_ms=4_500,
-            gap_target_ms=700,
-            stream_resume=True,
-            max_attempts=5,
-        )
-        h.replace_config(deployment, h.configuration(1, [stream], [SERVICE]), record)
-        h.wait_for(
-            lambda: h.request(deployment.entries[0], deployment.front, "/none")[0] == 404,
-            15.0,
-            "the configuration at the entry VM",
-        )
-        time.sleep(CONTACT_S)
-        threads = [
-            threading.Thread(target=_client, args=(record, deployment, left, number))
-            for number in range(REQUESTS)
-        ]
+        threads = [threading.Thread(target=each.play) for each in rounds]
         for thread in threads:
             thread.start()
-            time.sleep(START_EVERY_S)
         for thread in threads:
             thread.join()
-        time.sleep(PREFILL_S)
     finally:
-        deployment.close()
-    return _judge(record, engines, left)
-
-
-def _client(record: h.Record, deployment: h.Deployment, left: list[Left], number: int) -> None:
-    """Send one request; leave early if it is one of those that do."""
-    chunked = number % 2 < 2 * CHUNKED_SHARE - 0.5
-    leaves = h.TROUBLE and (number // 2) % 10 < 10 * LEAVING_SHARE
-    headers = h.client_headers(
-        Deadline_Ms="25000", Model="m", Token_Usage="5000,140", Prompt_Prefix=f"{number + 1:x}:5000"
-    )
-    if chunked:
-        headers["Transfer-Encoding"] = "chunked"
-        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
-    else:
-        headers["Content-Length"] = str(len(BODY))
-        body = BODY
-    head = ["POST /streaming/advice HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items()), "", ""]
-    with socket.create_connection((deployment.entries[0].host, deployment.front), 20) as sock:
-        sock.sendall("\r\n".join(head).encode() + body)
-        if leaves:
-            time.sleep(LEAVES_AFTER_S)
-        else:
-            _read_answer(sock)
-    if leaves:
-        left.append(Left(headers["Request-Id"], chunked, time.monotonic()))
-        record.write(f"client of {headers['Request-Id']} left, body in chunks: {chunked}")
-
-
-def _read_answer(sock: socket.socket) -> None:
-    received = b""
-    while not received.endswith(b"0\r\n\r\n"):
-        data = sock.recv(65_536)
-        if not data:
-            return
-        received += data
-
-
-def _judge(record: h.Record, engines: list[Engine], left: list[Left]) -> bool:
-    counted = working = 0
-    for request in left:
-        engine = next((e for e in engines if request.request_id in e.begun), None)
-        if engine is None:
-            continue
-        begun, ended = engine.begun[request.request_id], engine.ended[request.request_id]
-        if begun + PREFILL_S < request.at + STILL_S:
-            continue
-        counted += 1
-        working += ended > request.at + STILL_S
-        record.write(
-            f"{request.request_id}, body in chunks {request.chunked}: {engine.name} worked until "
-            f"{ended - request.at:.3f} s after the client had left"
-        )
-    record.write(f"{working} of {counted} still ran {STILL_S} s after their clients had left")
-    if h.TROUBLE and not counted:
-        raise h.CannotRun("no request was running when its client left")
-    return working <= ALLOWED_SHARE * counted
+        for each in rounds:
+            each.close()
+    results = [each.held for each in rounds if each.held is not None]
+    if not results:
+        raise h.CannotRun("no round was played")
+    return all(results)
+
+
+def _roll_out(record: h.PartRecord, deployment: h.Deployment, old: Version, new: Version) -> float:
+    """Order the rollout; kill the leader late in it, and return until when the core is unstable."""
+    order = {"service": SERVICE, "target": NEW, "duration_s": DURATION_S}
+    body = json.dumps(order).encode()
+
+    def accepted() -> bool:
+        for replica in deployment.replicas:
+            address = deployment.control_of(replica)
+            if h.call(address, "POST", "/Rollouts.Start", body)[0] == 200:
+                return True
+        return False
+
+    h.wait_for(accepted, 5.0, "acknowledgement of the rollout")
+    begun = time.monotonic()
+    record.write(f"rollout to {NEW} within {DURATION_S} s acknowledged")
+    deployment.platform.listed = [*old.listed(), *new.listed()]
+    new.bad_from = begun + BAD_FROM_S
+    time.sleep(begun + KILL_S - time.monotonic())
+    if not h.TROUBLE:
+        return 0.0
+    leader = _leader(deployment)
+    leader.kill()
+    record.write(f"{leader.host}, which leads, is killed; the rollout is {_state(deployment)!r}")
+    time.sleep(DOWN_S)
+    leader.start()
+    record.write(f"{leader.host} starts")
+    return time.monotonic() + CONTACT_S
+
+
+def _watch(
+    record: h.PartRecord,
+    deployment: h.Deployment,
+    old: Version,
+    new: Version,
+    clients: Clients,
+    unstable_until: float,
+) -> bool:
+    """Act as the platform at the rollout's end; return whether the rule held."""
+    until = time.monotonic() + LONGEST_S
+    state = ""
+    while time.monotonic() < until:
+        known, state = state, _state(deployment) or state
+        if state != known:
+            record.write(f"the rollout is {state!r}")
+        if state == "completed" and known != state:
+            deployment.platform.listed = new.listed()
+            old.close()
+            record.write(f"the replicas of {OLD} stop")
+        if state == "rolled_back":
+            return True
+        bad = sorted(at for at, failed in list(new.answers) if failed and at > unstable_until)
+        if len(bad) >= BAD_ANSWERS:
+            limit = bad[BAD_ANSWERS - 1] + ROLLBACK_S
+            late = [i for i in list(new.arrived) if clients.sent.get(i, 0.0) > limit]
+            if late:
+                after = clients.sent[late[0]] - limit
+                record.write(
+                    f"{NEW} got request {late[0]}, sent {after:.3f} s later than {ROLLBACK_S} s "
+                    f"after its {BAD_ANSWERS}th bad answer"
+                )
+                return False
+        time.sleep(LIST_EVERY_S)
+    return True
 
 
 if __name__ == "__main__":
