Name the record in each review script

Cause: run.sh did not show that it writes record.txt; the harness chose the name. Change: run.sh begins record.txt beside it and passes it to the play, which writes to it.

--- a/review/1/play.py
+++ b/review/1/play.py
@@ -145,4 +145,4 @@
 
 
 if __name__ == "__main__":
-    h.run_case(FOLDER, play)
+    h.run_case(Path(sys.argv[1]), play)
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -268,4 +268,4 @@
 
 
 if __name__ == "__main__":
-    h.run_case(FOLDER, play)
+    h.run_case(Path(sys.argv[1]), play)
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -276,4 +276,4 @@
 
 
 if __name__ == "__main__":
-    h.run_case(FOLDER, play)
+    h.run_case(Path(sys.argv[1]), play)
--- a/review/harness.py
+++ b/review/harness.py
@@ -53,16 +53,16 @@
 
 
 class Record:
-    """File `record.txt` in the folder of a case, with the time of each line.
+    """File with what was sent, answered and run, and the time of each line.
 
     Parameters
     ----------
-    folder : Path
-        Folder of the case.
+    path : Path
+        The file, `record.txt` in the folder of a case.
     """
 
-    def __init__(self, folder: Path):
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, path: Path):
+        self._file = path.open("w")
         self._lock = threading.Lock()
         self._begun = time.monotonic()
 
@@ -512,15 +512,17 @@
         conn.close()
 
 
-def run_case(folder: Path, play: Callable[[Record], bool]) -> None:
+def run_case(path: Path, play: Callable[[Record], bool]) -> None:
     """Play a case and exit with its status.
 
     Parameters
     ----------
+    path : Path
+        File for the record.
     play : callable
         Plays the case; returns whether the rule held.
     """
-    record = Record(folder)
+    record = Record(path)
     if not DEPS.is_dir():
         record.write("target/deps is missing; run deploy/build first")
         sys.exit(NOT_RUN)
