Log each call that a planned stop ends, with what it waited for

Each call that a stop ends, or leaves at exit, now has a line that no rate limit leaves out: phase, when it was complete and ended, when its server's last byte was read, and what was unread from the server and unsent to the caller.

No change of logic: the times of the stop move into a type of their own.

--- a/packages/kernel/src/nutmegdrum/bounded_http.py
+++ b/packages/kernel/src/nutmegdrum/bounded_http.py
@@ -39,6 +39,8 @@
     ----------
     extend : callable
         Called when the time is over.
+    last_byte_ms : int
+        Elapsed time in ms of the last read that returned data; 0 before the first one.
     """
 
     def __init__(self, clock: Clock):
@@ -47,6 +49,7 @@
         self.extend: Extend = give_up
         self.bytes_left = 0
         self.received = 0
+        self.last_byte_ms = 0
 
     def renew(self, time: Duration, size: int) -> None:
         """Allow the next part `time` from now and `size` bytes."""
@@ -63,6 +66,8 @@
 
     def consume(self, size: int) -> None:
         """Count received bytes."""
+        if size:
+            self.last_byte_ms = self._clock.elapsed_ms()
         self.bytes_left -= size
         self.received += size
 
--- a/packages/relay/src/nutmegdrum_relay/callers.py
+++ b/packages/relay/src/nutmegdrum_relay/callers.py
@@ -15,7 +15,7 @@
     read_chunked,
 )
 from nutmegdrum.lingering import LingeringClose, LingeringConnection
-from nutmegdrum.sockets import RESET_ON_CLOSE, is_readable
+from nutmegdrum.sockets import RESET_ON_CLOSE, is_readable, unsent_bytes
 from nutmegdrum.units import Address, Duration
 from nutmegdrum.wsgi import serve_pending_connections, status_line
 from nutmegdrum_coord import verdict as v
@@ -115,6 +115,11 @@
         """Return the caller's socket."""
         return self._req.conn.socket
 
+    @property
+    def unsent_bytes(self) -> int | None:
+        """Return the bytes of the answer that the caller has not confirmed; None if not known."""
+        return unsent_bytes(self.socket)
+
     def read_body(self) -> bytes:
         """Return the request body.
 
--- a/packages/relay/src/nutmegdrum_relay/decisions.py
+++ b/packages/relay/src/nutmegdrum_relay/decisions.py
@@ -45,6 +45,12 @@
 _clock = SystemClock()
 
 
+def log_unlimited(kind: str, /, **inputs: Any) -> None:
+    """Count and log a decision whatever its rate; for kinds whose number is bounded otherwise."""
+    DECISIONS.labels(kind).inc()
+    log_change(kind, **inputs)
+
+
 def log_decision(kind: str, /, **inputs: Any) -> None:
     """Count a decision, and log it unless its kind is over the rate limit.
 
--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -27,6 +27,7 @@
 from nutmegdrum_relay.fleet_work import FleetWork, Reporter
 from nutmegdrum_relay.links import LinkProber, Links
 from nutmegdrum_relay.list_reader import ListReader
+from nutmegdrum_relay.planned_stop import PlannedStop
 from nutmegdrum_relay.relay import Relay
 from nutmegdrum_relay.routing_table import RoutingTable
 from nutmegdrum_relay.running import RunningStreams
@@ -37,10 +38,6 @@
 from nutmegdrum_relay.version_gate import VersionGate
 from nutmegdrum_relay.views import ControlView
 
-ABORT_FRACTION = 0.9
-"""Fraction of the time until the process is killed at which running streams are aborted;
-docs/design/platform.md, shutdown."""
-
 END_MARGIN = Duration(200)
 """Time for calls to end after they have been aborted."""
 
@@ -158,8 +155,7 @@
             self._budget,
             self._crash_watch,
         )
-        self._relay.is_draining = lambda: self._draining
-        self._relay.ends_ms = lambda: self._ends_ms
+        self._relay.planned_stop = lambda: self._stop
         self._silence = SilenceMonitor(
             clock,
             self._backends,
@@ -172,8 +168,7 @@
                 lambda backend: permits.acquire([backend]) is not None,
             ),
         )
-        self._draining = False
-        self._ends_ms: int | None = None
+        self._stop: PlannedStop | None = None
         self._calls = 0
         self._lock = threading.Lock()
         self._listener = CallerListener(
@@ -192,7 +187,7 @@
 
     def not_ready(self) -> str:
         """Return why this VM is not ready for callers, or an empty string if it is."""
-        if self._draining:
+        if self._stop is not None:
             return "shutting down"
         return "" if self._follower.table is not None else "no routing document yet"
 
@@ -223,13 +218,11 @@
 
     def drain(self) -> None:
         """Report not ready, then wait until requests have ended or their time is up."""
-        started_ms = self._clock.elapsed_ms()
         cfg = self._cfg.entry
-        self._ends_ms = started_ms + int(cfg.stop_within * ABORT_FRACTION)
-        self._draining = True
+        stop = self._stop = PlannedStop.begin(self._clock.elapsed_ms(), cfg.stop_within)
         time.sleep(cfg.shutdown_notice / _MS_PER_S)
         # cheroot waits by the wall clock, which may jump; these joins use the monotonic clock.
-        wait = Duration(self._left(self._ends_ms) + END_MARGIN)
+        wait = Duration(self._left(stop.ends_calls_ms) + END_MARGIN)
         listeners = (self._listener, self._peer_listener)
         stops = [
             threading.Thread(target=each.stop, args=(wait,), daemon=True) for each in listeners
@@ -237,12 +230,13 @@
         for stopping in stops:
             stopping.start()
         for stopping in stops:
-            stopping.join(self._left(self._ends_ms) / _MS_PER_S)
+            stopping.join(self._left(stop.ends_calls_ms) / _MS_PER_S)
         self._relay.end_calls()
         for stopping in stops:
-            stopping.join(self._left(self._ends_ms + END_MARGIN) / _MS_PER_S)
+            stopping.join(self._left(stop.ends_calls_ms + END_MARGIN) / _MS_PER_S)
         for each in listeners:
-            each.linger(min(LINGER_AT_STOP, self._left(self._ends_ms + END_MARGIN)))
+            each.linger(min(LINGER_AT_STOP, self._left(stop.ends_calls_ms + END_MARGIN)))
+        self._relay.log_calls_left()
         log_decision("drained", calls_left=self._calls)
 
     def _left(self, until_ms: int) -> Duration:
@@ -263,7 +257,7 @@
 
     def takes_requests_at(self) -> Address | None:
         """Return the address for requests of other entry VMs; None if it takes none now."""
-        takes = not self._draining and not self._links.cut_off_services()
+        takes = self._stop is None and not self._links.cut_off_services()
         return self._cfg.listen.peers if takes else None
 
     def on_view(self, view: ControlView) -> None:
--- a/packages/relay/src/nutmegdrum_relay/pending_request.py
+++ b/packages/relay/src/nutmegdrum_relay/pending_request.py
@@ -7,6 +7,7 @@
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import Fingerprint, WorkspaceId
 
+from nutmegdrum_relay.call_progress import CallPhase, CallProgress
 from nutmegdrum_relay.dialect import Headers, RequestTerms
 from nutmegdrum_relay.documents import Route, Service
 from nutmegdrum_relay.placement import Demand
@@ -45,6 +46,10 @@
         Whether the caller has closed its connection.
     ended : bool
         Whether this VM ends the request because it is being stopped.
+    answer_whole : bool
+        Whether the answer has arrived completely.
+    taken_ms : int
+        Elapsed time in ms at which the request had arrived completely.
     """
 
     method: str
@@ -69,6 +74,8 @@
     may_send_again: bool = False
     caller_gone: bool = False
     ended: bool = False
+    answer_whole: bool = False
+    taken_ms: int = 0
     _exchange: Exchange | None = None
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
@@ -81,6 +88,18 @@
         self.deadline_ms += int(self.answer_margin)
         self.answer_margin = Duration(0)
 
+    def progress(self) -> CallProgress:
+        """Return how far the call has got."""
+        with self._lock:
+            exchange = self._exchange
+        if self.answer_whole:
+            return CallProgress(CallPhase.DELIVERING, self.sends)
+        if exchange is None:
+            phase = CallPhase.BETWEEN_SERVERS if self.sends else CallPhase.UNSENT
+            return CallProgress(phase, self.sends)
+        phase = CallPhase.ANSWERING if exchange.answer_begun else CallPhase.SENT
+        return CallProgress(phase, self.sends, exchange.last_byte_ms, exchange.unread_bytes)
+
     def on_caller_gone(self) -> None:
         """Abort the current exchange because the caller closed its connection."""
         with self._lock:
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -54,6 +54,7 @@
             If the caller disconnected.
         """
         answer = self._fetch(pending)
+        pending.answer_whole = True
         call.answer(answer.status, answer_headers(answer.headers), answer.body)
         return answer.status
 
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -19,7 +19,7 @@
 from nutmegdrum_relay.call_durations import CallDurations
 from nutmegdrum_relay.callers import Call, CallerDisconnected, DisconnectWatch
 from nutmegdrum_relay.crash_watch import CrashWatch
-from nutmegdrum_relay.decisions import log_decision
+from nutmegdrum_relay.decisions import log_decision, log_unlimited
 from nutmegdrum_relay.dialect import Dialect, Headers, RequestTerms
 from nutmegdrum_relay.documents import RouteKind
 from nutmegdrum_relay.entry_peers import passed_on_terms, refusal_headers
@@ -27,6 +27,7 @@
 from nutmegdrum_relay.pending_request import PendingRequest
 from nutmegdrum_relay.placement import Demand
 from nutmegdrum_relay.plain_relay import PlainRelay
+from nutmegdrum_relay.planned_stop import PlannedStop
 from nutmegdrum_relay.refusals import refusal_answer
 from nutmegdrum_relay.resends import Resends
 from nutmegdrum_relay.retry_policy import answer_time
@@ -71,10 +72,8 @@
 
     Attributes
     ----------
-    is_draining : callable
-        Returns whether this VM is shutting down.
-    ends_ms : callable
-        Returns the elapsed time in ms at which running calls are ended; None if it is not known.
+    planned_stop : callable
+        Returns the stop of this VM that is in progress; None if there is none.
     """
 
     def __init__(
@@ -100,10 +99,9 @@
         self._streams = StreamRelay(selection, attempts, clock, resends)
         self._durations = CallDurations()
         self._lock = threading.Lock()
-        self._running: set[PendingRequest] = set()
+        self._running: dict[PendingRequest, Call] = {}
         self._ended = False
-        self.is_draining: Callable[[], bool] = lambda: False
-        self.ends_ms: Callable[[], int | None] = lambda: None
+        self.planned_stop: Callable[[], PlannedStop | None] = lambda: None
 
     def serve(self, call: Call, passed_on: bool = False) -> None:
         """Answer one call.
@@ -123,12 +121,12 @@
         terms = self._dialect.request_terms(call.headers)
         try:
             body = call.read_body()
-            if self.is_draining():
+            if self.planned_stop() is not None:
                 call.close_after()
             pending = self._pending_request(call, terms, body, passed_on)
             kind = pending.route.kind.value
             self._check_can_end(pending)
-            with self._watch_disconnect(call, pending), self._endable(pending):
+            with self._watch_disconnect(call, pending), self._endable(call, pending):
                 status = self._answer(call, pending)
             self._durations.record(pending.route.name, self._elapsed(call))
         except v.Refusal as refusal:
@@ -159,35 +157,64 @@
         """
         with self._lock:
             self._ended = True
-            running = list(self._running)
+            running = dict(self._running)
+        states = [self._state(pending, call) for pending, call in running.items()]
         for pending in running:
             pending.end()
         log_decision("calls_ended", calls=len(running))
+        for state in states:
+            log_unlimited("call_ended_by_stop", **state)
+
+    def log_calls_left(self) -> None:
+        """Log the calls that still run when the process ends."""
+        with self._lock:
+            running = dict(self._running)
+        for pending, call in running.items():
+            log_unlimited("call_left_at_exit", **self._state(pending, call))
+
+    def _state(self, pending: PendingRequest, call: Call) -> dict[str, object]:
+        """Return what tells why a call is still running, for the log; times are from the signal."""
+        stop = self.planned_stop()
+        began_ms = stop.began_ms if stop is not None else self._clock.elapsed_ms()
+        progress = pending.progress()
+        last_byte = progress.last_byte_ms
+        return {
+            "request": pending.terms.request_id,
+            "kind": pending.route.kind.value,
+            "phase": progress.phase.value,
+            "sends": progress.sends,
+            "passed_on": pending.passed_on,
+            "taken_after_signal_ms": pending.taken_ms - began_ms,
+            "ended_after_signal_ms": self._clock.elapsed_ms() - began_ms,
+            "last_byte_after_signal_ms": last_byte - began_ms if last_byte else None,
+            "unread_from_server": progress.unread,
+            "unsent_to_caller": call.unsent_bytes,
+        }
 
     def _elapsed(self, call: Call) -> Duration:
         return Duration(self._clock.elapsed_ms() - call.received_ms)
 
     def _check_can_end(self, pending: PendingRequest) -> None:
         """Refuse a request that is not likely to end before this VM is stopped."""
-        ends_ms = self.ends_ms()
-        if ends_ms is None:
+        stop = self.planned_stop()
+        if stop is None:
             return
         usual = self._durations.usual(pending.route.name)
         end_ms = min(self._clock.elapsed_ms() + usual, pending.deadline_ms)
-        if end_ms >= ends_ms:
+        if end_ms >= stop.ends_calls_ms:
             raise v.Refusal(v.SHUTTING_DOWN, retry_after_ms=int(STOPPED_BACKOFF))
 
     @contextmanager
-    def _endable(self, pending: PendingRequest) -> Iterator[None]:
+    def _endable(self, call: Call, pending: PendingRequest) -> Iterator[None]:
         with self._lock:
             if self._ended:
                 raise v.Refusal(v.SHUTTING_DOWN, retry_after_ms=int(STOPPED_BACKOFF))
-            self._running.add(pending)
+            self._running[pending] = call
         try:
             yield
         finally:
             with self._lock:
-                self._running.discard(pending)
+                del self._running[pending]
 
     def _answer(self, call: Call, pending: PendingRequest) -> int:
         if pending.route.kind is RouteKind.STREAM:
@@ -242,6 +269,7 @@
             fingerprint=identity,
             parts=parts,
             document=table.version,
+            taken_ms=self._clock.elapsed_ms(),
             passed_on=passed_on,
         )
 
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -196,6 +196,7 @@
             raise AttemptLost(Loss.BROKEN, str(exc), attempt.exchange.aborted) from exc
         if splitter.rest:
             raise AttemptLost(Loss.BROKEN, "the stream ended in the middle of an event")
+        pending.answer_whole = True
         return status
 
     def _write(
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from nutmegdrum.bounded_http import MAX_HEAD, BoundedConnection, Extend, give_up
-from nutmegdrum.sockets import is_readable
+from nutmegdrum.sockets import is_readable, unread_bytes
 from nutmegdrum.units import Address, Duration, parse_count
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import BackendId
@@ -193,6 +193,21 @@
         """Return the number of bytes received on this connection."""
         return self._conn.bounds.received
 
+    @property
+    def answer_begun(self) -> bool:
+        """Return whether the answer's head has arrived."""
+        return self._resp is not None
+
+    @property
+    def last_byte_ms(self) -> int:
+        """Return the elapsed time in ms at which data was read last; 0 if none was."""
+        return self._conn.bounds.last_byte_ms
+
+    @property
+    def unread_bytes(self) -> int | None:
+        """Return the number of bytes that have arrived and are not read; None if not known."""
+        return unread_bytes(self._sock) if self._sock is not None else None
+
     def abort(self, reason: AbortReason) -> bool:
         """Shut the connection down, which wakes the thread that reads from it.
 
--- a/packages/relay/tests/test_callers.py
+++ b/packages/relay/tests/test_callers.py
@@ -10,6 +10,7 @@
 from nutmegdrum.units import Duration
 from nutmegdrum.wsgi import serve_pending_connections
 from nutmegdrum_relay.callers import DisconnectWatch
+from nutmegdrum_relay.planned_stop import PlannedStop
 from nutmegdrum_testing.relay_world import HOST, KEY, RelayWorld, document
 from nutmegdrum_testing.waiting import wait_for
 
@@ -18,6 +19,11 @@
 STOP_WAIT = Duration(8_000)
 
 
+def begin_stop(world):
+    stop = PlannedStop.begin(world.clock.elapsed_ms(), STOP_WAIT)
+    world.relay.planned_stop = lambda: stop
+
+
 def connected(world):
     return socket.create_connection((world.address.host, world.address.port), timeout=10)
 
@@ -68,7 +74,7 @@
             stopped_world.backends.set_listing(
                 [each.listed for each in world.backends.of_service("svc")]
             )
-            stopped_world.relay.is_draining = lambda: True
+            begin_stop(stopped_world)
             callers = [connected(stopped_world) for _ in range(12)]
             for caller in callers:
                 caller.sendall(request("/non-idempotent/x"))
@@ -92,7 +98,7 @@
                 while b"done" not in got:
                     got += caller.recv(65_536)
             before = len(backend.received)
-            stopped_world.relay.is_draining = lambda: True
+            begin_stop(stopped_world)
             for caller in callers:
                 caller.sendall(request("/non-idempotent/x"))
             stopped_world.listener.stop(STOP_WAIT)
@@ -217,7 +223,7 @@
         caller = slow_caller(world)
         caller.sendall(request("/non-idempotent/x") + request("/non-idempotent/x"))
         wait_for(lambda: backend.received)
-        world.relay.is_draining = lambda: True
+        begin_stop(world)
         stopping = threading.Thread(target=world.listener.stop, args=(STOP_WAIT,))
         stopping.start()
         wait_for(lambda: refuses(world))
@@ -253,7 +259,7 @@
         stopping = threading.Thread(target=world.listener.stop, args=(STOP_WAIT,))
         stopping.start()
         wait_for(lambda: refuses(world))
-        world.relay.is_draining = lambda: True
+        begin_stop(world)
         may_end.set()
         while not got.endswith(b"0\r\n\r\n"):
             got += caller.recv(65_536)
--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -1,10 +1,15 @@
 """Requests that come or are still running while an entry VM is being stopped."""
 
 import threading
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 
+import eliot
 import pytest
 from nutmegdrum.units import Duration
 from nutmegdrum_relay.call_durations import CallDurations
+from nutmegdrum_relay.decisions import LINES_PER_S
+from nutmegdrum_relay.planned_stop import PlannedStop
 from nutmegdrum_testing.relay_calls import answers, get
 from nutmegdrum_testing.relay_world import RelayWorld, document
 from nutmegdrum_testing.waiting import wait_for
@@ -31,9 +36,8 @@
 
 
 def stop_in(world, ms):
-    ends_ms = world.clock.elapsed_ms() + ms
-    world.relay.is_draining = lambda: True
-    world.relay.ends_ms = lambda: ends_ms
+    now_ms = world.clock.elapsed_ms()
+    world.relay.planned_stop = lambda: PlannedStop(now_ms, now_ms + ms)
 
 
 def call_once(world, kind):
@@ -93,6 +97,61 @@
         assert backend.received == []
 
 
+class TestLogOfAStop:
+    """The log tells of each call that a stop ends what it waited for."""
+
+    CALLS = LINES_PER_S + 5
+
+    @pytest.fixture
+    def world(self):
+        world = RelayWorld(document(), threads=2 * self.CALLS)
+        yield world
+        world.stop()
+
+    @pytest.fixture
+    def lines(self):
+        written = []
+        eliot.add_destinations(written.append)
+        yield written
+        eliot.remove_destination(written.append)
+
+    @pytest.mark.parametrize(
+        ("kind", "phase"), [("stream", "answering"), ("non-idempotent", "sent")]
+    )
+    def test_names_each_call_that_was_ended(self, world, lines, kind, phase):
+        ended = threading.Event()
+
+        def begin(received):
+            if "/stream/" in received.target:
+                received.start_events(X_Id=received.headers["x-id"])
+                received.event(1)
+            ended.wait(10)
+
+        (backend,) = world.add(begin)
+        with ThreadPoolExecutor(self.CALLS) as callers:
+            for number in range(self.CALLS):
+                callers.submit(get, world, f"/{kind}/x", "POST", X_Id=f"{kind}-{number}")
+            wait_for(lambda: phases(world) == {phase: self.CALLS})
+            stop_in(world, 100)
+            world.relay.end_calls()
+            ended.set()
+        ids = {f"{kind}-{number}" for number in range(self.CALLS)}
+        # Lines of earlier tests come first.
+        told = [
+            line
+            for line in lines
+            if line["message_type"] == "nutmegdrum:call_ended_by_stop" and line["request"] in ids
+        ]
+        assert {line["request"] for line in told} == ids
+        assert {line["phase"] for line in told} == {phase}
+        assert all(line["taken_after_signal_ms"] <= 0 for line in told)
+
+
+def phases(world):
+    """Return how many running calls are in each phase."""
+    return Counter(pending.progress().phase.value for pending in list(world.relay._running))
+
+
 class TestUsualDuration:
     def test_follows_the_last_calls_and_their_spread(self):
         durations = CallDurations()
