Add failing tests of streams that are taken late in a planned stop

A stream that is complete 3 s after the stop signal is sent on, whether it comes on a kept connection or with a body that ends late; if its server is slow, the stop cuts it.

--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -10,10 +10,13 @@
 from nutmegdrum_relay.call_durations import CallDurations
 from nutmegdrum_relay.decisions import LINES_PER_S
 from nutmegdrum_relay.planned_stop import PlannedStop
-from nutmegdrum_testing.relay_calls import answers, get
+from nutmegdrum_testing.relay_calls import answers, connect, get, headers
 from nutmegdrum_testing.relay_world import RelayWorld, document
 from nutmegdrum_testing.waiting import wait_for
 
+WITHIN = Duration(8_000)
+AFTER_NOTICE_MS = 3_000
+
 
 @pytest.fixture
 def world():
@@ -40,6 +43,12 @@
     world.relay.planned_stop = lambda: PlannedStop(now_ms, now_ms + ms)
 
 
+def stop_began(world, ago_ms, within):
+    """Let a planned stop be in progress since `ago_ms`, in a process killed `within` its start."""
+    stop = PlannedStop.begin(world.clock.elapsed_ms() - ago_ms, within)
+    world.relay.planned_stop = lambda: stop
+
+
 def call_once(world, kind):
     """Make one call, and wait until its duration counts; its caller may be ahead of that."""
     get(world, f"/{kind}/x", "POST")
@@ -75,6 +84,50 @@
         assert get(world, "/non-idempotent/x", "POST")[0] == 200
 
 
+class TestRequestsCompleteAfterTheNotice:
+    """Streams with a long deadline that this VM could not see through if their server is slow."""
+
+    def test_one_that_the_stop_may_cut_is_refused_as_not_run(self, world):
+        (backend,) = world.add(takes(20))
+        stop_began(world, AFTER_NOTICE_MS, WITHIN)
+        status, sent, _ = get(world, "/stream/x", "POST")
+        assert (status, len(backend.received)) == (503, 0)
+        assert float(sent["Retry-After"]) > 0
+
+    def test_one_whose_body_ends_late_is_refused_as_not_run(self, world):
+        (backend,) = world.add(takes(20))
+        conn = connect(world)
+        conn.putrequest("POST", "/stream/x", skip_host=True)
+        for name, value in headers(Content_Length="4").items():
+            conn.putheader(name, value)
+        conn.endheaders(b"bo")
+        stop_began(world, AFTER_NOTICE_MS, WITHIN)
+        conn.send(b"dy")
+        assert conn.getresponse().status == 503
+        assert backend.received == []
+
+    def test_the_next_one_on_a_kept_connection_is_refused_as_not_run(self, world):
+        (backend,) = world.add(takes(20))
+        conn = connect(world)
+        for status in (200, 503):
+            conn.request("POST", "/stream/x", headers=headers())
+            resp = conn.getresponse()
+            resp.read()
+            assert resp.status == status
+            stop_began(world, AFTER_NOTICE_MS, WITHIN)
+        assert len(backend.received) == 1
+
+    def test_one_whose_deadline_comes_before_the_end_is_served(self, world):
+        world.add(takes(20))
+        stop_began(world, AFTER_NOTICE_MS, WITHIN)
+        assert get(world, "/non-idempotent/x", "POST", X_Deadline="1000")[0] == 200
+
+    def test_those_complete_within_the_notice_are_served(self, world):
+        world.add(takes(20))
+        stop_began(world, AFTER_NOTICE_MS - 1_000, WITHIN)
+        assert get(world, "/stream/x", "POST")[0] == 200
+
+
 class TestEndOfTheGrace:
     @pytest.mark.parametrize("kind", ["idempotent", "non-idempotent"])
     def test_a_call_without_an_answer_is_told_that_it_may_have_run(self, world, kind):
