Refuse requests that are complete only after the notice of a planned stop

Callers saw streams end without a whole answer at 7.2 s after the SIGTERM of their entry VM, although they had been sent when it was being stopped already.

Cause: until then a stopping VM took each request that usually ended in time, by averages of past calls. Such requests come on kept connections after a long answer, and with bodies that end late. Load moves to fewer VMs and servers at each stop, so calls take longer than they did, and after a start the average is 0. An estimate decided what only a bound can.

Now a request that is complete after the notice (2.5 s, and 0.2 s for what is on its way on kept connections) is taken only if its deadline comes before running calls are ended; then it has its answer or its refusal by then. Others are refused at once as not run, and served by another VM.

--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -10,7 +10,14 @@
 from nutmegdrum.retries import RetryBudget
 from nutmegdrum.rpc import RpcClient
 from nutmegdrum.units import Address, Duration
-from nutmegdrum.wsgi import LINGER_AT_STOP, Environ, HttpListener, Response, StartResponse
+from nutmegdrum.wsgi import (
+    LINGER_AT_STOP,
+    NEXT_REQUEST_WAIT,
+    Environ,
+    HttpListener,
+    Response,
+    StartResponse,
+)
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import IncarnationId, ServiceName, VmId
 
@@ -219,7 +226,8 @@
     def drain(self) -> None:
         """Report not ready, then wait until requests have ended or their time is up."""
         cfg = self._cfg.entry
-        stop = self._stop = PlannedStop.begin(self._clock.elapsed_ms(), cfg.stop_within)
+        notice = Duration(cfg.shutdown_notice + NEXT_REQUEST_WAIT)
+        stop = self._stop = PlannedStop.begin(self._clock.elapsed_ms(), notice, cfg.stop_within)
         time.sleep(cfg.shutdown_notice / _MS_PER_S)
         # cheroot waits by the wall clock, which may jump; these joins use the monotonic clock.
         wait = Duration(self._left(stop.ends_calls_ms) + END_MARGIN)
--- a/packages/relay/src/nutmegdrum_relay/planned_stop.py
+++ b/packages/relay/src/nutmegdrum_relay/planned_stop.py
@@ -1,4 +1,4 @@
-"""Times of a planned stop of an entry VM."""
+"""Planned stop of an entry VM: its times, and which requests it still takes."""
 
 from typing import NamedTuple
 
@@ -16,14 +16,40 @@
     ----------
     began_ms : int
         When the stop signal was handled.
+    admits_until_ms : int
+        When requests must be complete to be taken although they may outlast the stop.
     ends_calls_ms : int
         When calls that still run are ended.
     """
 
     began_ms: int
+    admits_until_ms: int
     ends_calls_ms: int
 
     @classmethod
-    def begin(cls, now_ms: int, within: Duration) -> "PlannedStop":
-        """Return a stop that begins now, in a process that is killed `within` this time."""
-        return cls(now_ms, now_ms + int(within * END_FRACTION))
+    def begin(cls, now_ms: int, notice: Duration, within: Duration) -> "PlannedStop":
+        """Return a stop that begins now.
+
+        Parameters
+        ----------
+        notice : Duration
+            Time until connections are no longer accepted or kept.
+        within : Duration
+            Time until the process is killed.
+        """
+        return cls(now_ms, now_ms + int(notice), now_ms + int(within * END_FRACTION))
+
+    def may_take(self, now_ms: int, usual: Duration, deadline_ms: int) -> bool:
+        """Return whether to take a request that is complete now.
+
+        After the notice only those are taken whose deadline comes before calls are ended. How long
+        calls usually take is no promise: servers get slower as load moves away from this VM.
+
+        Parameters
+        ----------
+        usual : Duration
+            Time within which calls on the route usually end; 0 if it is not known.
+        """
+        if now_ms >= self.admits_until_ms:
+            return deadline_ms < self.ends_calls_ms
+        return min(now_ms + usual, deadline_ms) < self.ends_calls_ms
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -195,13 +195,13 @@
         return Duration(self._clock.elapsed_ms() - call.received_ms)
 
     def _check_can_end(self, pending: PendingRequest) -> None:
-        """Refuse a request that is not likely to end before this VM is stopped."""
+        """Refuse a request that this VM might have to cut when it is stopped."""
         stop = self.planned_stop()
         if stop is None:
             return
+        now_ms = self._clock.elapsed_ms()
         usual = self._durations.usual(pending.route.name)
-        end_ms = min(self._clock.elapsed_ms() + usual, pending.deadline_ms)
-        if end_ms >= stop.ends_calls_ms:
+        if not stop.may_take(now_ms, usual, pending.deadline_ms):
             raise v.Refusal(v.SHUTTING_DOWN, retry_after_ms=int(STOPPED_BACKOFF))
 
     @contextmanager
--- a/packages/relay/tests/test_callers.py
+++ b/packages/relay/tests/test_callers.py
@@ -16,11 +16,12 @@
 
 HEAD = f"Host: {HOST}\r\nX-Id: q1\r\nX-Key: {KEY}\r\n"
 END = b"GET / HTTP/1.0\r\n\r\n"
+NOTICE = Duration(2_700)
 STOP_WAIT = Duration(8_000)
 
 
 def begin_stop(world):
-    stop = PlannedStop.begin(world.clock.elapsed_ms(), STOP_WAIT)
+    stop = PlannedStop.begin(world.clock.elapsed_ms(), NOTICE, STOP_WAIT)
     world.relay.planned_stop = lambda: stop
 
 
--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -14,6 +14,7 @@
 from nutmegdrum_testing.relay_world import RelayWorld, document
 from nutmegdrum_testing.waiting import wait_for
 
+NOTICE = Duration(2_700)
 WITHIN = Duration(8_000)
 AFTER_NOTICE_MS = 3_000
 
@@ -40,12 +41,12 @@
 
 def stop_in(world, ms):
     now_ms = world.clock.elapsed_ms()
-    world.relay.planned_stop = lambda: PlannedStop(now_ms, now_ms + ms)
+    world.relay.planned_stop = lambda: PlannedStop(now_ms, now_ms + ms, now_ms + ms)
 
 
 def stop_began(world, ago_ms, within):
     """Let a planned stop be in progress since `ago_ms`, in a process killed `within` its start."""
-    stop = PlannedStop.begin(world.clock.elapsed_ms() - ago_ms, within)
+    stop = PlannedStop.begin(world.clock.elapsed_ms() - ago_ms, NOTICE, within)
     world.relay.planned_stop = lambda: stop
 
 
