Wait for calls on threads that are being added when a listener stops

The listener's pool adds threads while few are idle. A thread that is being added serves calls already, but the HTTP server does not know it yet, so that stopping does not wait for it.

Stopping now waits for the step that adds threads first. The test holds a thread in that state: before, the stop returned while its call was running.

--- a/packages/relay/src/nutmegdrum_relay/callers.py
+++ b/packages/relay/src/nutmegdrum_relay/callers.py
@@ -294,6 +294,8 @@
     def stop(self, wait: Duration) -> None:
         """Close the listener and idle connections, and wait at most `wait` for running calls."""
         self._pool_loop.stop()
+        # cheroot does not wait for threads that are still being added.
+        self._pool_loop.join(wait)
         self._server.shutdown_timeout = wait / _MS_PER_S
         serve_pending_connections(self._server)
         self._server.stop()
--- a/packages/relay/src/nutmegdrum_relay/loop.py
+++ b/packages/relay/src/nutmegdrum_relay/loop.py
@@ -36,6 +36,10 @@
         """Stop after the current step, without waiting for it."""
         self._stopped.set()
 
+    def join(self, timeout: Duration) -> None:
+        """Wait until the last step has ended, at most for `timeout`."""
+        self._thread.join(timeout / _MS_PER_S)
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             pause = self._run_step()
--- a/packages/relay/tests/test_callers.py
+++ b/packages/relay/tests/test_callers.py
@@ -9,7 +9,7 @@
 import pytest
 from nutmegdrum.units import Duration
 from nutmegdrum.wsgi import serve_pending_connections
-from nutmegdrum_relay.callers import DisconnectWatch
+from nutmegdrum_relay.callers import MIN_THREADS, DisconnectWatch
 from nutmegdrum_relay.planned_stop import PlannedStop
 from nutmegdrum_testing.relay_world import HOST, KEY, RelayWorld, document
 from nutmegdrum_testing.waiting import wait_for
@@ -68,6 +68,45 @@
         stopping.join()
         assert sum(b"done" in answer for answer in answers) == len(callers)
 
+    def test_waits_for_a_call_on_a_thread_that_was_just_added(self):
+        may_end = {"/non-idempotent/x": threading.Event(), "/non-idempotent/y": threading.Event()}
+
+        def wait_then_answer(received):
+            may_end[received.target].wait(8)
+            received.answer(200, b"done", X_Id=received.headers["x-id"])
+
+        world = RelayWorld(document(), threads=MIN_THREADS + 1)
+        (backend,) = world.add(wait_then_answer)
+        pool = world.listener._server.requests
+        spawn, is_added = pool._spawn_worker, threading.Event()
+
+        def spawn_slowly():
+            worker = spawn()
+            is_added.wait(8)
+            return worker
+
+        pool._spawn_worker = spawn_slowly
+        callers = [connected(world) for _ in range(MIN_THREADS + 1)]
+        for number, caller in enumerate(callers):
+            caller.sendall(
+                request("/non-idempotent/x" if number < MIN_THREADS else "/non-idempotent/y")
+            )
+            wait_for(lambda: len(backend.received) > number)  # noqa: B023
+        stopping = threading.Thread(target=world.listener.stop, args=(STOP_WAIT,))
+        stopping.start()
+        with contextlib.suppress(TimeoutError):
+            wait_for(lambda: not pool._threads, 1)
+        is_added.set()
+        may_end["/non-idempotent/x"].set()
+        for caller in callers[:-1]:
+            assert b"done" in read_all(caller)
+        stopping.join(0.5)
+        assert stopping.is_alive()
+        may_end["/non-idempotent/y"].set()
+        assert b"done" in read_all(callers[-1])
+        stopping.join(8)
+        assert not stopping.is_alive()
+
     def test_requests_in_the_listen_backlog_are_answered(self, world):
         world.add(lambda received: received.answer(200, b"done", X_Id=received.headers["x-id"]))
         for _ in range(8):
