Deliver what has arrived to slow callers at the end of a planned stop

At 0.9 of the grace time all running calls were ended, whatever they waited for. A stream whose server had sent all of it, but whose caller was slow to take it, was cut: the connection to the server was shut down, and even an answer that could still be read to its end was given up since the exchange counted as aborted. The server has ended its work by then, so that the users' rule does not excuse it.

Now calls are ended while they wait for a server. Those with bytes from it to pass on go on, until 0.975 of the time; a framed answer that was read to its end is whole, also if its exchange was aborted meanwhile.

The two new tests failed before (IncompleteRead; the exchange was aborted).

--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -48,6 +48,9 @@
 END_MARGIN = Duration(200)
 """Time for calls to end after they have been aborted."""
 
+END_POLL = Duration(50)
+"""Interval at which calls that wait for their callers are looked at, once calls are ended."""
+
 READINESS_THREADS = 2
 
 PEER_THREADS = 4
@@ -230,7 +233,7 @@
         stop = self._stop = PlannedStop.begin(self._clock.elapsed_ms(), notice, cfg.stop_within)
         time.sleep(cfg.shutdown_notice / _MS_PER_S)
         # cheroot waits by the wall clock, which may jump; these joins use the monotonic clock.
-        wait = Duration(self._left(stop.ends_calls_ms) + END_MARGIN)
+        wait = self._left(stop.exits_ms)
         listeners = (self._listener, self._peer_listener)
         stops = [
             threading.Thread(target=each.stop, args=(wait,), daemon=True) for each in listeners
@@ -239,14 +242,23 @@
             stopping.start()
         for stopping in stops:
             stopping.join(self._left(stop.ends_calls_ms) / _MS_PER_S)
-        self._relay.end_calls()
+        self._end_calls(stop)
+        answered_ms = min(self._clock.elapsed_ms() + END_MARGIN, stop.exits_ms)
         for stopping in stops:
-            stopping.join(self._left(stop.ends_calls_ms + END_MARGIN) / _MS_PER_S)
+            stopping.join(self._left(answered_ms) / _MS_PER_S)
         for each in listeners:
-            each.linger(min(LINGER_AT_STOP, self._left(stop.ends_calls_ms + END_MARGIN)))
+            each.linger(min(LINGER_AT_STOP, self._left(stop.exits_ms)))
         self._relay.log_calls_left()
         log_decision("drained", calls_left=self._calls)
 
+    def _end_calls(self, stop: PlannedStop) -> None:
+        """End running calls; those that wait for their callers may go on until the exit."""
+        calls = self._relay.end_calls()
+        log_decision("calls_ended", calls=calls)
+        while calls and self._left(stop.exits_ms):
+            time.sleep(END_POLL / _MS_PER_S)
+            calls = self._relay.end_calls()
+
     def _left(self, until_ms: int) -> Duration:
         return Duration(max(0, until_ms - self._clock.elapsed_ms()))
 
--- a/packages/relay/src/nutmegdrum_relay/pending_request.py
+++ b/packages/relay/src/nutmegdrum_relay/pending_request.py
@@ -107,12 +107,20 @@
             if self._exchange is not None:
                 self._exchange.abort(AbortReason.CALLER_GONE)
 
-    def end(self) -> None:
-        """Abort the current exchange because this VM is being stopped."""
+    def end(self) -> bool:
+        """End the request because this VM is being stopped; return whether this ended it.
+
+        What has arrived is left to be delivered first if its caller is slow to take it.
+        """
         with self._lock:
-            self.ended = True
-            if self._exchange is not None:
-                self._exchange.abort(AbortReason.STOPPING)
+            if self.answer_whole:
+                return False
+            exchange, was_ended, self.ended = self._exchange, self.ended, True
+            if exchange is None:
+                return not was_ended
+            if exchange.aborted or exchange.unread_bytes:
+                return False
+            return exchange.abort(AbortReason.STOPPING)
 
     def set_exchange(self, exchange: Exchange | None) -> None:
         """Set the exchange in progress; abort it if the request has ended already."""
--- a/packages/relay/src/nutmegdrum_relay/planned_stop.py
+++ b/packages/relay/src/nutmegdrum_relay/planned_stop.py
@@ -5,8 +5,11 @@
 from nutmegdrum.units import Duration
 
 END_FRACTION = 0.9
-"""Fraction of the time until the process is killed at which running calls are ended;
-docs/design/platform.md, shutdown."""
+"""Fraction of the time until the process is killed at which calls that wait for backend servers are
+ended; docs/design/platform.md, shutdown."""
+
+EXIT_FRACTION = 0.975
+"""Fraction of that time at which the process exits at the latest, whatever still runs."""
 
 
 class PlannedStop(NamedTuple):
@@ -19,12 +22,15 @@
     admits_until_ms : int
         When requests must be complete to be taken although they may outlast the stop.
     ends_calls_ms : int
-        When calls that still run are ended.
+        When calls that wait for their backend servers are ended.
+    exits_ms : int
+        When the process exits at the latest.
     """
 
     began_ms: int
     admits_until_ms: int
     ends_calls_ms: int
+    exits_ms: int
 
     @classmethod
     def begin(cls, now_ms: int, notice: Duration, within: Duration) -> "PlannedStop":
@@ -37,7 +43,12 @@
         within : Duration
             Time until the process is killed.
         """
-        return cls(now_ms, now_ms + int(notice), now_ms + int(within * END_FRACTION))
+        return cls(
+            now_ms,
+            now_ms + int(notice),
+            now_ms + int(within * END_FRACTION),
+            now_ms + int(within * EXIT_FRACTION),
+        )
 
     def may_take(self, now_ms: int, usual: Duration, deadline_ms: int) -> bool:
         """Return whether to take a request that is complete now.
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -149,21 +149,27 @@
                 elapsed_ms=elapsed_ms,
             )
 
-    def end_calls(self) -> None:
-        """End all running calls, and refuse new ones.
+    def end_calls(self) -> int:
+        """End the calls that wait for backend servers, and refuse new ones.
 
         A call without an answer is told that it may have run, which a closed connection would not
-        tell. A stream breaks off, and its caller resumes it elsewhere.
+        tell. A stream breaks off, and its caller resumes it elsewhere. Calls whose callers have not
+        taken yet what has arrived for them go on; further calls of this method end those that wait
+        for their server by then.
+
+        Returns
+        -------
+        int
+            Calls that still run.
         """
         with self._lock:
             self._ended = True
             running = dict(self._running)
-        states = [self._state(pending, call) for pending, call in running.items()]
-        for pending in running:
-            pending.end()
-        log_decision("calls_ended", calls=len(running))
-        for state in states:
+        states = [(pending, self._state(pending, call)) for pending, call in running.items()]
+        ended = [state for pending, state in states if pending.end()]
+        for state in ended:
             log_unlimited("call_ended_by_stop", **state)
+        return len(running)
 
     def log_calls_left(self) -> None:
         """Log the calls that still run when the process ends."""
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -239,6 +239,7 @@
         )
         if state.head_sent or (attempt.answer.status >= FAILED_STATUS and may_continue):
             raise AttemptLost(Loss.FAILED, f"status {attempt.answer.status}")
+        pending.answer_whole = True
         call.answer(attempt.answer.status, answer_headers(attempt.answer.headers), body)
         return attempt.answer.status
 
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -181,7 +181,8 @@
             raise TimeoutError(str(exc)) from exc
         except (HTTPException, HTTPError, OSError, ValueError, AttributeError) as exc:
             raise ConnectionLost(str(exc)) from exc
-        if self.aborted:
+        if self.aborted and not self._is_framed():
+            # Only the end of the connection, which may be the abort's, has ended the body.
             raise ConnectionLost(f"the exchange was aborted: {self.aborted.value}")
 
     def extend(self, timeout: Duration) -> None:
@@ -238,8 +239,12 @@
             return False
         if resp.headers.get("connection", "").lower() == "close":
             return False
-        framed = resp.chunked or resp.length_remaining == 0
-        return framed and resp.version == 11
+        return self._is_framed() and resp.version == 11
+
+    def _is_framed(self) -> bool:
+        """Return whether a body that has been read to its end is known to be whole."""
+        resp = self._resp
+        return resp is not None and (resp.chunked or resp.length_remaining == 0)
 
     def idle_time(self) -> Duration:
         """Return the idle time-out of the connection, from the answer's `Keep-Alive` header."""
--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -1,5 +1,6 @@
 """Requests that come or are still running while an entry VM is being stopped."""
 
+import socket
 import threading
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
@@ -10,10 +11,13 @@
 from nutmegdrum_relay.call_durations import CallDurations
 from nutmegdrum_relay.decisions import LINES_PER_S
 from nutmegdrum_relay.planned_stop import PlannedStop
-from nutmegdrum_testing.relay_calls import answers, connect, get, headers
+from nutmegdrum_testing.relay_calls import answers, connect, get, headers, numbers
 from nutmegdrum_testing.relay_world import RelayWorld, document
 from nutmegdrum_testing.waiting import wait_for
 
+EVENTS, EVENT_BYTES, SMALL_BUFFER = 30, 4_000, 4_096
+"""Events of a stream, and sizes in bytes with which it does not fit into its caller's buffers."""
+
 NOTICE = Duration(2_700)
 WITHIN = Duration(8_000)
 AFTER_NOTICE_MS = 3_000
@@ -41,7 +45,7 @@
 
 def stop_in(world, ms):
     now_ms = world.clock.elapsed_ms()
-    world.relay.planned_stop = lambda: PlannedStop(now_ms, now_ms + ms, now_ms + ms)
+    world.relay.planned_stop = lambda: PlannedStop(now_ms, now_ms + ms, now_ms + ms, now_ms + ms)
 
 
 def stop_began(world, ago_ms, within):
@@ -144,6 +148,32 @@
         assert got[0][0] == 502
         assert len(backend.received) == 1
 
+    def test_a_stream_that_its_caller_takes_slowly_is_not_cut(self, world):
+        may_send, sent = threading.Event(), threading.Event()
+
+        def send_at_once(received):
+            received.start_events(X_Id=received.headers["x-id"])
+            received.event(1)
+            may_send.wait(10)
+            for number in range(2, EVENTS + 1):
+                received.piece(b"id: %d\ndata: %b\n\n" % (number, b"t" * EVENT_BYTES))
+            received.end_events()
+            sent.set()
+
+        world.add(send_at_once)
+        conn = connect(world)
+        conn.connect()
+        conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        conn.request("POST", "/stream/x", headers=headers())
+        resp = conn.getresponse()
+        (call,) = world.relay._running.values()
+        call.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+        may_send.set()
+        assert sent.wait(10)
+        stop_in(world, 0)
+        world.relay.end_calls()
+        assert numbers(resp.read()) == list(range(1, EVENTS + 1))
+
     def test_calls_that_come_later_are_not_sent(self, world):
         (backend,) = world.add(answers(200))
         world.relay.end_calls()
--- a/packages/relay/tests/test_upstream.py
+++ b/packages/relay/tests/test_upstream.py
@@ -1,12 +1,22 @@
+import threading
+
 import pytest
 from nutmegdrum.units import Duration
 from nutmegdrum_coord.clock import ManualClock
 from nutmegdrum_coord.ids import BackendId
-from nutmegdrum_relay.upstream import DEFAULT_IDLE, EXPIRY_INTERVAL, UpstreamPool
+from nutmegdrum_relay.upstream import (
+    DEFAULT_IDLE,
+    EXPIRY_INTERVAL,
+    AbortReason,
+    ConnectionLost,
+    UpstreamPool,
+)
 from nutmegdrum_testing.scripted_backend import ScriptedBackend
 
 UNUSED, OTHER = BackendId("left"), BackendId("other")
 ANSWER_TIMEOUT = Duration(5_000)
+LARGE = 20_000
+"""Size of an answer in bytes that is more than one read and less than the socket's buffer."""
 
 
 @pytest.fixture
@@ -27,6 +37,39 @@
     return sock
 
 
+class TestAbortedExchange:
+    """An exchange is aborted after its answer has arrived, and before that is read."""
+
+    @staticmethod
+    def begin(backend, script):
+        sent = threading.Event()
+
+        def send(received):
+            script(received)
+            sent.set()
+
+        backend.set_script(send)
+        begun = UpstreamPool(ManualClock()).connect(backend.address)
+        begun.send("GET", "/", [("Host", "h")], b"")
+        begun.receive(ANSWER_TIMEOUT)
+        assert sent.wait(5)
+        begun.abort(AbortReason.STOPPING)
+        return begun.chunks(ANSWER_TIMEOUT)
+
+    def test_a_whole_answer_is_kept(self, backend):
+        def answer(received):
+            received.start_events()
+            received.piece(b"o" * LARGE)
+            received.end_events()
+
+        assert b"".join(self.begin(backend, answer)) == b"o" * LARGE
+
+    def test_an_answer_that_ends_with_its_connection_is_not_whole(self, backend):
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        with pytest.raises(ConnectionLost):
+            list(self.begin(backend, lambda received: received.send_raw(head + b"o" * LARGE)))
+
+
 class TestPooledConnections:
     def test_an_idle_connection_is_reused(self, backend):
         upstream = UpstreamPool(ManualClock())
