Refuse calls as not run that a stop ends before they are sent

A call that was waiting for a permit or a connection when calls were ended got a 502, may have run, although it was never sent: its connection was shut down before the request, the request's EPIPE was taken for an answer that may have arrived, and the missing answer for a loss after the send.

Such an attempt is now not sent, and refused as not run. The window is the time between the choice of a server and the send; what is ended during the send itself may still have run. The three new tests failed before (502 instead of 503).

--- a/packages/relay/src/nutmegdrum_relay/attempt_tally.py
+++ b/packages/relay/src/nutmegdrum_relay/attempt_tally.py
@@ -38,9 +38,11 @@
     def on_loss(
         self, pending: PendingRequest, tally_key: TallyKey | None, lost: AttemptLost
     ) -> None:
-        """Count an attempt without response headers."""
+        """Count an attempt without response headers, unless this VM ended it before it was sent."""
         if tally_key is None or pending.caller_gone:
             return
+        if lost.loss is Loss.NOT_SENT and lost.aborted:
+            return
         if lost.loss is Loss.SILENT:
             self._gate.tally.on_error(tally_key, counted=False)
         elif lost.loss in (Loss.BROKEN, Loss.NOT_SENT):
--- a/packages/relay/src/nutmegdrum_relay/attempts.py
+++ b/packages/relay/src/nutmegdrum_relay/attempts.py
@@ -190,6 +190,8 @@
                 copy_at=copy_at.address if copy_at else None,
             )
             headers = self._target(backend).headers(pending, terms)
+            if pending.ended:
+                raise AttemptLost(Loss.NOT_SENT, "this VM is being stopped", exchange.aborted)
             self._count_send(pending)
             log_decision(
                 "attempt_sent",
--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -148,6 +148,22 @@
         assert got[0][0] == 502
         assert len(backend.received) == 1
 
+    @pytest.mark.parametrize("kind", ["idempotent", "non-idempotent", "stream"])
+    def test_a_call_that_has_not_been_sent_is_refused_as_not_run(self, world, monkeypatch, kind):
+        (backend,) = world.add(answers(200))
+        selection = world.relay._plain._selection
+        choose = selection.choose
+
+        def choose_late(pending, tried):
+            chosen = choose(pending, tried)
+            world.relay.end_calls()
+            return chosen
+
+        monkeypatch.setattr(selection, "choose", choose_late)
+        status, sent, _ = get(world, f"/{kind}/x", "POST")
+        assert (status, len(backend.received)) == (503, 0)
+        assert float(sent["Retry-After"]) > 0
+
     def test_a_stream_that_its_caller_takes_slowly_is_not_cut(self, world):
         may_send, sent = threading.Event(), threading.Event()
 
