Keep calls when the wall clock jumps while a listener stops

The HTTP library measures the time for running calls by the wall clock. If that jumps forward during a stop, the time counts as over, and the library shuts down the reading side of the running calls' connections. The watch for callers that disconnect takes that for a caller that left, so the calls are aborted, long before the end of the grace time.

The listener now measures the time itself, by the monotonic clock, and the library waits without a limit. At the end of the time connections are shut down as before. The test lets the clock jump by an hour at each look: before, its caller got nothing. Whether a user's machine did this is not shown.

--- a/packages/relay/src/nutmegdrum_relay/callers.py
+++ b/packages/relay/src/nutmegdrum_relay/callers.py
@@ -296,9 +296,18 @@
         self._pool_loop.stop()
         # cheroot does not wait for threads that are still being added.
         self._pool_loop.join(wait)
-        self._server.shutdown_timeout = wait / _MS_PER_S
         serve_pending_connections(self._server)
-        self._server.stop()
+        # With a time-out cheroot measures it by the wall clock, and a jump would end running calls.
+        self._server.shutdown_timeout = None
+        pool = self._server.requests
+        workers = list(pool._threads)
+        stopping = threading.Thread(target=self._server.stop, name="callers-stop", daemon=True)
+        stopping.start()
+        stopping.join(wait / _MS_PER_S)
+        if stopping.is_alive():
+            for worker in workers:
+                pool._force_close(worker.conn)
+        stopping.join()
 
 
 def _discard(msg: str = "", level: int = 20, traceback: bool = False) -> None:
--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -232,7 +232,6 @@
         notice = Duration(cfg.shutdown_notice + NEXT_REQUEST_WAIT)
         stop = self._stop = PlannedStop.begin(self._clock.elapsed_ms(), notice, cfg.stop_within)
         time.sleep(cfg.shutdown_notice / _MS_PER_S)
-        # cheroot waits by the wall clock, which may jump; these joins use the monotonic clock.
         wait = self._left(stop.exits_ms)
         listeners = (self._listener, self._peer_listener)
         stops = [
--- a/packages/relay/tests/test_callers.py
+++ b/packages/relay/tests/test_callers.py
@@ -2,11 +2,15 @@
 
 import contextlib
 import http.client
+import itertools
 import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 
 import pytest
+from cheroot.workers import threadpool
 from nutmegdrum.units import Duration
 from nutmegdrum.wsgi import serve_pending_connections
 from nutmegdrum_relay.callers import MIN_THREADS, DisconnectWatch
@@ -107,6 +111,32 @@
         stopping.join(8)
         assert not stopping.is_alive()
 
+    def test_a_jump_of_the_wall_clock_ends_no_call(self, world, monkeypatch):
+        may_end, hour_s = threading.Event(), 3_600
+
+        def wait_then_answer(received):
+            may_end.wait(8)
+            received.answer(200, b"done", X_Id=received.headers["x-id"])
+
+        (backend,) = world.add(wait_then_answer)
+        caller = connected(world)
+        caller.sendall(request("/non-idempotent/x"))
+        wait_for(lambda: backend.received)
+        jumps = itertools.count(int(time.time()), hour_s)
+        jumping = SimpleNamespace(time=lambda: next(jumps), sleep=time.sleep)
+        monkeypatch.setattr(threadpool, "time", jumping)
+        pool = world.listener._server.requests
+        workers = list(pool._threads)
+        stopping = threading.Thread(target=world.listener.stop, args=(STOP_WAIT,))
+        stopping.start()
+        wait_for(lambda: sum(worker.is_alive() for worker in workers) == 1)
+        with contextlib.suppress(TimeoutError):
+            wait_for(lambda: not world.relay._running, 0.2)
+        may_end.set()
+        assert b"done" in read_all(caller)
+        stopping.join(8)
+        assert not stopping.is_alive()
+
     def test_requests_in_the_listen_backlog_are_answered(self, world):
         world.add(lambda received: received.answer(200, b"done", X_Id=received.headers["x-id"]))
         for _ in range(8):
