Count a stream as running until its last chunk is sent

The HTTP library sends the last chunk of an answer after the relay has counted the call as ended. If its caller is slow to take what comes before, the stop saw no running call, waited 0.2 s more and exited, and the caller got a whole stream without its end, although time was left until the exit.

The call now sends the last chunk itself before it ends, so that a planned stop waits for it until the exit. The test counts calls while the last chunk is being sent: none before, one now.

--- a/packages/relay/src/nutmegdrum_relay/callers.py
+++ b/packages/relay/src/nutmegdrum_relay/callers.py
@@ -30,6 +30,8 @@
 """Added to the callers' idle limit before a connection is closed, so that a request sent just
 before the limit is not lost."""
 
+LAST_CHUNK = b"0\r\n\r\n"
+
 LISTEN_BACKLOG = 512
 
 MIN_THREADS = 16
@@ -178,6 +180,22 @@
         except OSError as exc:
             raise CallerDisconnected from exc
 
+    def end(self) -> None:
+        """Send the last chunk, if the answer is in chunks; the HTTP library sends it later.
+
+        Raises
+        ------
+        CallerDisconnected
+            If the connection is closed.
+        """
+        if not self._req.chunked_write:
+            return
+        self._req.chunked_write = False
+        try:
+            self._req.conn.wfile.write(LAST_CHUNK)
+        except OSError as exc:
+            raise CallerDisconnected from exc
+
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
         self.start(status, headers, len(body))
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -128,6 +128,7 @@
             self._check_can_end(pending)
             with self._watch_disconnect(call, pending), self._endable(call, pending):
                 status = self._answer(call, pending)
+                call.end()
             self._durations.record(pending.route.name, self._elapsed(call))
         except v.Refusal as refusal:
             marks: Headers = []
--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -9,6 +9,7 @@
 import pytest
 from nutmegdrum.units import Duration
 from nutmegdrum_relay.call_durations import CallDurations
+from nutmegdrum_relay.callers import LAST_CHUNK
 from nutmegdrum_relay.decisions import LINES_PER_S
 from nutmegdrum_relay.planned_stop import PlannedStop
 from nutmegdrum_testing.relay_calls import answers, connect, get, headers, numbers
@@ -190,6 +191,33 @@
         world.relay.end_calls()
         assert numbers(resp.read()) == list(range(1, EVENTS + 1))
 
+    def test_a_stream_counts_as_running_until_its_last_chunk_is_sent(self, world):
+        may_end, calls_at_last_chunk = threading.Event(), []
+
+        def send(received):
+            received.start_events(X_Id=received.headers["x-id"])
+            received.event(1)
+            may_end.wait(10)
+            received.end_events()
+
+        world.add(send)
+        conn = connect(world)
+        conn.request("POST", "/stream/x", headers=headers())
+        resp = conn.getresponse()
+        (call,) = world.relay._running.values()
+        file = call._req.conn.wfile
+        write = file.write
+
+        def write_and_count(data):
+            if data == LAST_CHUNK:
+                calls_at_last_chunk.append(world.relay.end_calls())
+            return write(data)
+
+        file.write = write_and_count
+        may_end.set()
+        assert numbers(resp.read()) == [1]
+        assert calls_at_last_chunk == [1]
+
     def test_calls_that_come_later_are_not_sent(self, world):
         (backend,) = world.add(answers(200))
         world.relay.end_calls()
