Bound late requests of a planned stop by all the time that their callers wait

After the notice a request is taken if its deadline comes before calls are ended. So one could be taken whose deadline came after the calls were ended, and be cut by it.

The check now counts the margin. The new test failed before (200, sent).

--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -208,7 +208,9 @@
             return
         now_ms = self._clock.elapsed_ms()
         usual = self._durations.usual(pending.route.name)
-        if not stop.may_take(now_ms, usual, pending.deadline_ms):
+        # An answer that has begun may use all the time that the caller waits.
+        deadline_ms = pending.deadline_ms + int(pending.answer_margin)
+        if not stop.may_take(now_ms, usual, deadline_ms):
             raise v.Refusal(v.SHUTTING_DOWN, retry_after_ms=int(STOPPED_BACKOFF))
 
     @contextmanager
--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -128,6 +128,21 @@
         stop_began(world, AFTER_NOTICE_MS, WITHIN)
         assert get(world, "/non-idempotent/x", "POST", X_Deadline="1000")[0] == 200
 
+    def test_one_whose_answer_may_take_until_after_the_end_is_refused(self, world, monkeypatch):
+        (backend,) = world.add(takes(20))
+        check = world.relay._check_can_end
+
+        def check_at_end(pending):
+            # An answer that has begun may go on for the time that its caller waits.
+            ends_ms = pending.deadline_ms + int(pending.answer_margin)
+            stop = PlannedStop(0, 0, ends_ms, ends_ms)
+            world.relay.planned_stop = lambda: stop
+            check(pending)
+
+        monkeypatch.setattr(world.relay, "_check_can_end", check_at_end)
+        status, _, _ = get(world, "/stream/x", "POST", X_Deadline="1000")
+        assert (status, len(backend.received)) == (503, 0)
+
     def test_those_complete_within_the_notice_are_served(self, world):
         world.add(takes(20))
         stop_began(world, AFTER_NOTICE_MS - 1_000, WITHIN)
