Keep streams whose server has closed its connection at the end of a planned stop

When calls are ended, those with bytes from their server to pass on go on. A stream whose length only the end of its connection tells has no bytes left once the relay has read the last ones, although its end has arrived too: while its caller took them, it was cut, and its server had ended.

The end of the connection counts as something to read now. If the server broke off instead, the next read shows that, and a call that was ended is not sent again. The new test failed before (IncompleteRead).

--- a/packages/relay/src/nutmegdrum_relay/pending_request.py
+++ b/packages/relay/src/nutmegdrum_relay/pending_request.py
@@ -118,7 +118,7 @@
             exchange, was_ended, self.ended = self._exchange, self.ended, True
             if exchange is None:
                 return not was_ended
-            if exchange.aborted or exchange.unread_bytes:
+            if exchange.aborted or exchange.has_unread:
                 return False
             return exchange.abort(AbortReason.STOPPING)
 
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -209,6 +209,18 @@
         """Return the number of bytes that have arrived and are not read; None if not known."""
         return unread_bytes(self._sock) if self._sock is not None else None
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether data or the end of the connection has arrived and is not read."""
+        sock = self._sock
+        if sock is None:
+            return False
+        try:
+            return is_readable(sock)
+        except ValueError:
+            # It has been closed.
+            return False
+
     def abort(self, reason: AbortReason) -> bool:
         """Shut the connection down, which wakes the thread that reads from it.
 
--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -7,9 +7,10 @@
 
 import eliot
 import pytest
+from nutmegdrum.sockets import is_readable
 from nutmegdrum.units import Duration
 from nutmegdrum_relay.call_durations import CallDurations
-from nutmegdrum_relay.callers import LAST_CHUNK
+from nutmegdrum_relay.callers import LAST_CHUNK, Call
 from nutmegdrum_relay.decisions import LINES_PER_S
 from nutmegdrum_relay.planned_stop import PlannedStop
 from nutmegdrum_testing.relay_calls import answers, connect, get, headers, numbers
@@ -19,6 +20,11 @@
 EVENTS, EVENT_BYTES, SMALL_BUFFER = 30, 4_000, 4_096
 """Events of a stream, and sizes in bytes with which it does not fit into its caller's buffers."""
 
+UNFRAMED = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Id: q1\r\n\r\nid: 1\ndata: t\n\n"
+)
+"""Stream whose end only the end of its connection tells."""
+
 NOTICE = Duration(2_700)
 WITHIN = Duration(8_000)
 AFTER_NOTICE_MS = 3_000
@@ -233,6 +239,21 @@
         assert numbers(resp.read()) == [1]
         assert calls_at_last_chunk == [1]
 
+    def test_a_stream_whose_server_has_closed_its_connection_is_not_cut(self, world, monkeypatch):
+        world.add(lambda received: received.send_raw(UNFRAMED))
+        write = Call.write
+
+        def write_late(call, data):
+            (pending,) = world.relay._running
+            exchange = pending._exchange
+            wait_for(lambda: is_readable(exchange._sock) and exchange.unread_bytes == 0)
+            world.relay.end_calls()
+            write(call, data)
+
+        monkeypatch.setattr(Call, "write", write_late)
+        status, _, body = get(world, "/stream/x", "POST")
+        assert (status, numbers(body)) == (200, [1])
+
     def test_calls_that_come_later_are_not_sent(self, world):
         (backend,) = world.add(answers(200))
         world.relay.end_calls()
