Add a mode to the soak that plays planned stops only

Its callers send short bodies and short streams, its checks of streams exempt restarts, and no stop meets another signal.

Callers keep their connections, send bodies whose last bytes are up to 2 s late, and streams of 0.3 to 5 s; some read slowly. Engines record when they were at work on which request, so that the users' rule can be checked for each request, and the end of each daemon.

--- a/packages/testing/src/nutmegdrum_testing/soak/__main__.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/__main__.py
@@ -24,6 +24,7 @@
     entries: int = ENTRIES,
     other_build: Path | None = None,
     silences: bool = False,
+    stops: bool = False,
 ) -> list[str]:
     """Play one seed and return the problems found; if there are any, the logs are kept.
 
@@ -38,28 +39,25 @@
     silences : bool
         Whether sound backend servers fall silent beside the faults, and once more beside changes
         and restarts after them.
+    stops : bool
+        Whether planned work, above all stops of entry daemons, is played in place of all faults.
     """
     with Processes() as processes:
-        world = SoakWorld(seed, processes, entries, other_build, silences)
+        world = SoakWorld(seed, processes, entries, other_build, silences, stops)
         problems = world.callers.problems
         faults = Faults(world, random.Random(seed + 2))
         try:
             world.start()
-            with world.silences.running() if silences else nullcontext():
-                faults.run(seconds)
-            world.check_recovery()
-            if silences:
-                with world.silences.running():
-                    faults.run(CHANGES_S, CHANGES)
-            world.callers.stop()
-            world.callers.check_runs()
-            problems.extend(world.silences.problems(world.replaced_at_s))
+            if stops:
+                _play_stops(world, seconds)
+            else:
+                _play_faults(world, faults, seconds, silences)
         except Exception as exc:
             problems.append(f"the soak was aborted: {exc!r}")
         outcomes = dict(sorted(world.callers.outcomes.items()))
         print(
             f"seed {seed}: {len(problems)} problems; {len(faults.injected)} faults; "
-            f"{world.silences.summary()}; "
+            f"{world.stops.summary(world.engines) if stops else world.silences.summary()}; "
             f"{world.starts()}; roll-outs {world.roll_outs.results}; {outcomes}"
         )
         if problems:
@@ -70,6 +68,26 @@
     return problems
 
 
+def _play_faults(world: SoakWorld, faults: Faults, seconds: float, silences: bool) -> None:
+    with world.silences.running() if silences else nullcontext():
+        faults.run(seconds)
+    world.check_recovery()
+    if silences:
+        with world.silences.running():
+            faults.run(CHANGES_S, CHANGES)
+    world.callers.stop()
+    world.callers.check_runs()
+    world.callers.problems.extend(world.silences.problems(world.replaced_at_s))
+
+
+def _play_stops(world: SoakWorld, seconds: float) -> None:
+    world.stops.run(seconds)
+    world.check_after_stops()
+    world.callers.stop()
+    world.callers.check_runs()
+    world.callers.problems.extend(world.stops.problems(world.engines))
+
+
 def _seeds(text: str) -> list[int]:
     first, _, last = text.partition("-")
     return list(range(int(first), int(last or first) + 1))
@@ -95,12 +113,15 @@
     parser.add_argument(
         "--silences", action="store_true", help="let sound backend servers fall silent"
     )
+    parser.add_argument(
+        "--stops", action="store_true", help="play planned work only, and check stops"
+    )
     args = parser.parse_args()
     seeds = args.seeds + [secrets.randbits(FRESH_SEED_BITS) for _ in range(args.fresh)]
     failed = [
         seed
         for seed in seeds
-        if play(seed, args.seconds, args.entries, args.other_build, args.silences)
+        if play(seed, args.seconds, args.entries, args.other_build, args.silences, args.stops)
     ]
     print(f"{len(seeds)} seeds, failed: {failed or 'none'}")
     sys.exit(bool(failed))
--- a/packages/testing/src/nutmegdrum_testing/soak/documents.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/documents.py
@@ -20,14 +20,15 @@
 
 DEPLOYMENT = "soak"
 CALL_TIMEOUT_MS = 1_500
+ROUTE_TIMEOUT = "5s"
 IN_FORCE_S = 2.0
 """Time in s until an acknowledged document is in force on all entry VMs (the users' bound)."""
 
 
-def _source(version: int) -> bytes:
+def _source(version: int, timeout: str) -> bytes:
     """Return a document with the callers' routes and a route named after its version."""
-    routes = [_route(kind.value, kind) for kind in RouteKind]
-    routes.append(_route(f"v{version}", RouteKind.IDEMPOTENT))
+    routes = [_route(kind.value, kind, timeout) for kind in RouteKind]
+    routes.append(_route(f"v{version}", RouteKind.IDEMPOTENT, timeout))
     engine = {"slots": 8, "cache_tokens": 50_000, "copies_runs": True}
     return msgspec.json.encode(
         {
@@ -39,14 +40,14 @@
     )
 
 
-def _route(name: str, kind: RouteKind) -> dict[str, Any]:
+def _route(name: str, kind: RouteKind, timeout: str) -> dict[str, Any]:
     return {
         "name": name,
         "host": HOST,
         "prefix": f"/{name}/",
         "kind": kind.value,
         "targets": [{"service": SERVICE}],
-        "timeout": "5s",
+        "timeout": timeout,
         "latency_objective": "200ms",
         "max_attempts": 3,
         "resumable": kind is RouteKind.STREAM,
@@ -54,9 +55,16 @@
 
 
 class Operator:
-    """Puts document versions in ascending order, at whichever replica answers."""
+    """Puts document versions in ascending order, at whichever replica answers.
 
-    def __init__(self, replicas: list[Address]):
+    Parameters
+    ----------
+    route_timeout : str
+        Time-out of the callers' routes.
+    """
+
+    def __init__(self, replicas: list[Address], route_timeout: str = ROUTE_TIMEOUT):
+        self._route_timeout = route_timeout
         self._replicas = replicas
         self._rpc = RpcClient(Sender(DEPLOYMENT, "operator", "1"))
         self._version = 0
@@ -66,7 +74,9 @@
     def put_next(self) -> bool:
         """Put the next version; return whether a leader acknowledged it."""
         self._version += 1
-        command = PutDocument(version=self._version, source=_source(self._version))
+        command = PutDocument(
+            version=self._version, source=_source(self._version, self._route_timeout)
+        )
         answer = self._call_any_replica("propose", encode_command(command, who="operator"))
         if answer is None:
             return False
--- a/packages/testing/src/nutmegdrum_testing/soak/engines.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/engines.py
@@ -1,11 +1,14 @@
 """Backend servers of the soak, with a record of the requests that ran on them."""
 
 import functools
+import math
 import random
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
 
 import msgspec
 from nutmegdrum.units import Address
@@ -27,6 +30,9 @@
 DEADLY_PART = "deadly"
 """Part of a prompt that does the same, in requests that differ."""
 
+SLOW_PREFIX = "stops-"
+"""Prefix of the ids of requests that `Engines.slow_stream` answers."""
+
 FIRST_VERSION = "v1"
 BAD_FAILURES = 0.6
 """Share of the requests that a bad version answers with status 500."""
@@ -37,6 +43,14 @@
     return f"{request_id}-{number}"
 
 
+@dataclass
+class Work:
+    """Time in which an engine was at work on a request, in monotonic s."""
+
+    began_s: float
+    ended_s: float = math.inf
+
+
 class Engines:
     """All backend servers, the platform's list of them, and counts of runs; thread-safe.
 
@@ -46,6 +60,8 @@
         Records the faults that hit requests, those of single requests included.
     arrivals : list of tuple
         Monotonic time in s and id of each request that a backend server received.
+    slow_stream : callable or None
+        Answers streams in place of the usual one.
     """
 
     def __init__(
@@ -53,6 +69,8 @@
     ):
         self.disturbances = disturbances
         self.arrivals: list[tuple[float, str]] = []
+        self.slow_stream: Callable[[Received, str], None] | None = None
+        self._works: dict[str, list[Work]] = {}
         self._network = network
         self._rng = rng
         self._lock = threading.Lock()
@@ -200,7 +218,23 @@
         else:
             with self._lock:
                 self.run_counts[request_id] += 1
-            self._run(received, request_id, fault)
+            with self._working(request_id):
+                self._run(received, request_id, fault)
+
+    def works(self, request_id: str) -> list[Work]:
+        """Return when engines were at work on a request; infinite ends if they still are."""
+        with self._lock:
+            return list(self._works.get(request_id, ()))
+
+    @contextmanager
+    def _working(self, request_id: str) -> Iterator[None]:
+        work = Work(time.monotonic())
+        with self._lock:
+            self._works.setdefault(request_id, []).append(work)
+        try:
+            yield
+        finally:
+            work.ended_s = time.monotonic()
 
     def _run(self, received: Received, request_id: str, fault: str) -> None:
         if fault == "reset":
@@ -208,7 +242,10 @@
         elif fault == "failure":
             received.answer(500, request_id.encode(), X_Id=request_id)
         elif received.target.startswith("/stream/"):
-            self._stream(received, request_id, fault == "break")
+            if self.slow_stream and request_id.startswith(SLOW_PREFIX):
+                self.slow_stream(received, request_id)
+            else:
+                self._stream(received, request_id, fault == "break")
         else:
             time.sleep(EVENT_PERIOD_S)
             received.answer(200, request_id.encode(), X_Id=request_id)
--- a/packages/testing/src/nutmegdrum_testing/soak/world.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/world.py
@@ -16,10 +16,12 @@
 
 from nutmegdrum_testing.link import Network
 from nutmegdrum_testing.processes import Processes, RunningProcess, free_ports
+from nutmegdrum_testing.scripted_backend import Received
+from nutmegdrum_testing.soak import stops
 from nutmegdrum_testing.soak.callers import DEADLINE_MS, Callers, Kind
 from nutmegdrum_testing.soak.daemon import CUT_OFF_SUFFIX
 from nutmegdrum_testing.soak.disturbances import Disturbances
-from nutmegdrum_testing.soak.documents import DEPLOYMENT, IN_FORCE_S, Operator
+from nutmegdrum_testing.soak.documents import DEPLOYMENT, IN_FORCE_S, ROUTE_TIMEOUT, Operator
 from nutmegdrum_testing.soak.engines import CRASHING_BODY, DEADLY_PART, Engines
 from nutmegdrum_testing.soak.rollouts import RollOuts
 from nutmegdrum_testing.soak.silences import Silences
@@ -35,6 +37,10 @@
 ENTRIES = 3
 ENGINES = 4
 CALLERS = 12
+CALLERS_BESIDE_STOPS = 4
+STOP_WITHIN_S = 4.0
+"""Callers of the usual kind, and how many of them beside stops; `entry.stop_within` in s."""
+
 RECOVERY_S = 12.0
 """Time in s after the last fault by which every request is served again (the users' bound)."""
 
@@ -145,18 +151,26 @@
         finally:
             self.process = self._start()
 
+    def start_again(self) -> None:
+        """Start a new process after the last one has ended."""
+        self.process = self._start()
+
     def change_settings(self, signalled: bool) -> None:
-        """Rewrite the settings file, first truncated, then whole; with SIGHUPs if `signalled`."""
+        """Rewrite the settings file once the process waits for signals; `rewrite_settings`."""
         # A signal ends an interpreter that has not run the daemon's first line yet, and no platform
         # starts it again here.
         wait_for(lambda: self.process.blocks(signal.SIGHUP), STOP_S)
+        self.rewrite_settings(signalled)
+
+    def rewrite_settings(self, signalled: bool) -> None:
+        """Rewrite the settings file, first truncated, then whole; with SIGHUPs if `signalled`."""
         data = self._settings.read_bytes()
         self._settings.write_bytes(data[: len(data) // 2])
-        if signalled:
+        if signalled and self.process.exit_code is None:
             self.process.hang_up()
         time.sleep(0.1)
         self._settings.write_bytes(data + b"\n")
-        if signalled:
+        if signalled and self.process.exit_code is None:
             self.process.hang_up()
 
     def cut_off(self, seconds: float) -> None:
@@ -195,6 +209,8 @@
         Checkout of another build, which some starts of daemons take.
     has_silences : bool
         Whether backend servers fall silent, so that streams need more time.
+    has_stops : bool
+        Whether only planned work is played, beside callers that stops are checked with.
 
     Attributes
     ----------
@@ -209,6 +225,7 @@
         entries: int = ENTRIES,
         other_build: Path | None = None,
         has_silences: bool = False,
+        has_stops: bool = False,
     ):
         self._seed = seed
         self._other_build = other_build
@@ -242,16 +259,31 @@
         ]
         self.entry_addresses = [Address(f"{host}:{callers}") for host in hosts]
         self.entry_links = [self.network.link(address) for address in self.entry_addresses]
-        self.operator = Operator([Address(f"{host}:{peers}") for host in replicas])
+        timeout = stops.ROUTE_TIMEOUT if has_stops else ROUTE_TIMEOUT
+        self.operator = Operator([Address(f"{host}:{peers}") for host in replicas], timeout)
         self.roll_outs = RollOuts(
             self.engines, self.operator, random.Random(seed + 3), self._lose_leader
         )
         addresses = [Address(link.address) for link in self.entry_links]
         deadline_ms = SILENT_DEADLINE_MS if has_silences else DEADLINE_MS
-        self.callers = Callers(addresses, self.engines, seed, CALLERS, deadline_ms)
+        callers_count = CALLERS_BESIDE_STOPS if has_stops else CALLERS
+        self.callers = Callers(addresses, self.engines, seed, callers_count, deadline_ms)
         self.silences = Silences(self.network, self.engines, self.callers, random.Random(seed + 4))
+        self.stops = stops.Stops(self, random.Random(seed + 5), STOP_WITHIN_S)
+        if has_stops:
+            self.engines.faults_enabled = False
+            self.engines.slow_stream = self._slow_stream
         self.replaced_at_s = 0.0
 
+    def _slow_stream(self, received: Received, request_id: str) -> None:
+        first = int(received.headers.get("x-last", "0")) + 1
+        gap_s = self.stops.stream_s() / stops.EVENTS
+        received.start_events(X_Id=request_id)
+        for number in range(first, stops.EVENTS + 1):
+            received.piece(stops.event(request_id, number))
+            time.sleep(gap_s)
+        received.end_events()
+
     def _daemon(self, host: str, role: str, peers: int, metrics: int, listen: dict) -> Daemon:
         settings = {
             "deployment": DEPLOYMENT,
@@ -260,7 +292,7 @@
             "listen": {"peers": f"{host}:{peers}", "metrics": f"{host}:{metrics}", **listen},
             "state_seeds": self._seeds,
             "backend_list": str(self.engines.list_server.address),
-            "entry": {"stop_within": "4s", "shutdown_notice": "500ms"},
+            "entry": {"stop_within": f"{STOP_WITHIN_S:.0f}s", "shutdown_notice": "500ms"},
             "tolerated_losses": TOLERATED_LOSSES,
             "control": {"synced_data_survives": True, "election_timeout": "600ms"},
         }
@@ -331,6 +363,15 @@
         if not self._in_force(version):
             self.callers.problems.append(f"version {version} is not in force in time")
 
+    def check_after_stops(self) -> None:
+        """Check that all daemons run, the newest document is in force, and streams end."""
+        self._check_running()
+        acknowledged = self.operator.acknowledged
+        self._expect("the newest document is in force", lambda: self._in_force(acknowledged))
+        before = self.callers.outcomes["stream 200"]
+        self._expect("streams complete", lambda: self.callers.outcomes["stream 200"] > before + 3)
+        self._expect("every state replica votes", lambda: all(map(_votes, self._metrics)))
+
     def _lose_leader(self) -> None:
         for replica, address in zip(self.replicas, self._metrics, strict=True):
             if "nutmegdrum_log_leads 1" in _metrics(address):
