--- a/packages/testing/src/nutmegdrum_testing/soak/stops.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/stops.py
@@ -252,10 +252,11 @@
             life.stopped_s = self._stopped_s = time.monotonic()
         is_disturbed = rng.random() < AMID_SHARE
         amid = (lambda: self._disturb_stop(entry, rng)) if is_disturbed else (lambda: None)
+        stopped_at = time.time()
         took_s = self._terminate(entry, amid) - life.stopped_s
         life.ended_s = min(life.stopped_s + took_s, time.monotonic())
         self.longest_stop_s = max(self.longest_stop_s, took_s)
-        self._check_end(entry, took_s, life.is_other)
+        self._check_end(entry, took_s, life.is_other, stopped_at)
         time.sleep(rng.choice([0.0, rng.uniform(0.0, 0.5)]))
         entry.start_again()
         with self._lock:
@@ -291,17 +292,29 @@
         daemon.process.kill()
         return math.inf
 
-    def _check_end(self, daemon: "Daemon", took_s: float, is_other: bool) -> None:
+    def _check_end(
+        self, daemon: "Daemon", took_s: float, is_other: bool, stopped_at: float = 0.0
+    ) -> None:
+        """Check that a daemon ended in time.
+
+        Parameters
+        ----------
+        stopped_at : float
+            Unix time in s of SIGTERM, by which the stop is found in the daemon's log.
+        """
         if took_s > self._within_s and not is_other:
-            self.stop_problems.append(f"{daemon.name} ended {took_s:.2f} s after SIGTERM")
+            self.stop_problems.append(
+                f"{daemon.name} ended {took_s:.2f} s after SIGTERM at {stopped_at:.3f}"
+            )
 
     def _restart_replicas(self, until_s: float, rng: random.Random) -> None:
         while time.monotonic() < until_s:
             time.sleep(rng.uniform(2.0, 5.0))
             replica = rng.choice(self._world.replicas)
             stopped_s = time.monotonic()
+            stopped_at = time.time()
             took_s = self._terminate(replica, lambda: None) - stopped_s
-            self._check_end(replica, took_s, replica.builds.is_other)
+            self._check_end(replica, took_s, replica.builds.is_other, stopped_at)
             replica.start_again()
 
     def _put_documents(self, until_s: float, rng: random.Random) -> None:
--- a/packages/testing/tests/test_soak.py
+++ b/packages/testing/tests/test_soak.py
@@ -233,10 +233,12 @@
 
     def test_a_daemon_that_ends_late_is_told(self):
         stops = self.stops()
-        stops._check_end(SimpleNamespace(name="127.0.0.11"), 8.1, is_other=False)
+        stops._check_end(
+            SimpleNamespace(name="127.0.0.11"), 8.1, is_other=False, stopped_at=1_000.5
+        )
         stops._check_end(SimpleNamespace(name="127.0.0.12"), 8.0, is_other=False)
         stops._check_end(SimpleNamespace(name="127.0.0.13"), 8.1, is_other=True)
-        assert stops.problems(None) == ["127.0.0.11 ended 8.10 s after SIGTERM"]
+        assert stops.problems(None) == ["127.0.0.11 ended 8.10 s after SIGTERM at 1000.500"]
 
     def test_an_exception_in_a_thread_of_the_play_is_told(self):
         stops = self.stops()
