--- a/packages/relay/tests/test_callers.py
+++ b/packages/relay/tests/test_callers.py
@@ -110,6 +110,7 @@
         assert b"done" in read_all(callers[-1])
         stopping.join(8)
         assert not stopping.is_alive()
+        backend.stop()
 
     def test_a_jump_of_the_wall_clock_ends_no_call(self, world, monkeypatch):
         may_end, hour_s = threading.Event(), 3_600
