Log each request that a shutdown of the own gateway does not serve to its end

Each of them now has a line, whatever their number: outcome, phase, method, path, the caller's and the generation's ids, when the request was complete and when it was ended in ms from the signal, and whether its answer's body had begun. No change of what is served.

The new tests could not be collected before: the gate had no such lines.

--- a/packages/kernel/src/nutmegdrum/entry.py
+++ b/packages/kernel/src/nutmegdrum/entry.py
@@ -248,4 +248,5 @@
         self._plain_ticker.stop()
         self._cache_ticker.stop()
         self._listener.stop()
+        self._gate.log_left()
         self.streaming.stop()
--- a/packages/kernel/src/nutmegdrum/gateway.py
+++ b/packages/kernel/src/nutmegdrum/gateway.py
@@ -15,6 +15,7 @@
 from nutmegdrum.peer_exchange import PASSED_ON_HEADER, SENT_HEADER, CallerRequest
 from nutmegdrum.problems import problem_headers, problem_of
 from nutmegdrum.settings import WorkspaceSettings
+from nutmegdrum.shutdown_gate import body_is_complete
 from nutmegdrum.workspaces import Workspaces
 from nutmegdrum.wsgi import (
     Environ,
@@ -94,7 +95,9 @@
     ) -> CallerRequest:
         arrived_ms = self._entry.clock.elapsed_ms()
         method = environ["REQUEST_METHOD"]
-        return CallerRequest(method, target, headers, read_body(environ), arrived_ms, resumable)
+        body = read_body(environ)
+        body_is_complete(environ)
+        return CallerRequest(method, target, headers, body, arrived_ms, resumable)
 
     def _plain(
         self, workspace: WorkspaceSettings, headers: dict[str, str], environ: Environ
--- a/packages/kernel/src/nutmegdrum/shutdown.py
+++ b/packages/kernel/src/nutmegdrum/shutdown.py
@@ -43,6 +43,10 @@
         if self._began_ms is None:
             self._began_ms = now_ms
 
+    def after_signal_ms(self, now_ms: int) -> int | None:
+        """Return the time in ms from the start of the shutdown, or None before it."""
+        return None if self._began_ms is None else now_ms - self._began_ms
+
     def phase(self, now_ms: int, open_requests: int) -> Phase:
         """Return the phase at `now_ms` with `open_requests` unfinished requests."""
         if self._began_ms is None:
--- a/packages/kernel/src/nutmegdrum/shutdown_gate.py
+++ b/packages/kernel/src/nutmegdrum/shutdown_gate.py
@@ -17,10 +17,74 @@
 RETRY_AFTER_MS = 1_000
 """Backoff hint of refusals during a shutdown, in ms."""
 
+GENERATION_HEADER = "nutmegdrum-generation"
+
+CALL = "nutmegdrum.call"
+"""Key of the admitted request in the environment."""
+
+MAX_LOGGED = 200
+"""Characters of a caller's text that are logged."""
+
 _ADMITTING = (Phase.SERVING, Phase.NOTICE)
 _POLL_S = 0.02
 
 
+class OpenCall:
+    """Admitted request, until its answer has ended.
+
+    Attributes
+    ----------
+    complete_ms : int or None
+        Time at which its body had been read; None before.
+    answering : bool
+        Whether the server got a part of its answer's body.
+    """
+
+    def __init__(self, environ: Environ, clock: Clock):
+        self._clock = clock
+        self._method = environ["REQUEST_METHOD"]
+        self._path = environ["PATH_INFO"]
+        self._request = environ.get("HTTP_X_REQUEST_ID", "")
+        self._generation = ""
+        self.complete_ms: int | None = None
+        self.answering = False
+
+    def complete(self) -> None:
+        """Note that the request has been read whole."""
+        self.complete_ms = self._clock.elapsed_ms()
+
+    def start_answer(self, headers: list[tuple[str, str]]) -> None:
+        """Note the id of the generation that the answer is about."""
+        for name, text in headers:
+            if name.lower() == GENERATION_HEADER:
+                self._generation = text
+
+    def log(self, outcome: str, phase: Phase, shutdown: Shutdown) -> None:
+        """Write the line about what a shutdown did to the request."""
+        complete_ms = self.complete_ms
+        log_change(
+            "request-at-shutdown",
+            outcome=outcome,
+            phase=phase.value,
+            method=self._method[:MAX_LOGGED],
+            path=self._path[:MAX_LOGGED],
+            request=self._request[:MAX_LOGGED],
+            generation=self._generation,
+            complete_after_signal_ms=(
+                None if complete_ms is None else shutdown.after_signal_ms(complete_ms)
+            ),
+            ended_after_signal_ms=shutdown.after_signal_ms(self._clock.elapsed_ms()),
+            answer_begun=self.answering,
+        )
+
+
+def body_is_complete(environ: Environ) -> None:
+    """Tell the gate, if there is one, that the request has been read whole."""
+    call = environ.get(CALL)
+    if call is not None:
+        call.complete()
+
+
 class ShutdownGate:
     """WSGI application that wraps the gateway.
 
@@ -39,23 +103,25 @@
         self._clock = clock
         self._shutdown = shutdown
         self._unfinished = unfinished
-        self._open_requests = 0
+        self._open: set[OpenCall] = set()
         self._lock = threading.Lock()
         self.phase = Phase.SERVING
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request, or refuse it as not run if the VM is shutting down."""
+        call = OpenCall(environ, self._clock)
         with self._lock:
             admitted = self.phase in _ADMITTING
-            self._open_requests += admitted
+            if admitted:
+                self._open.add(call)
         if not admitted:
             return _refuse(start_response)
         try:
-            body = self._app(environ, self._closing_connections(start_response))
+            body = self._app({**environ, CALL: call}, self._starting(call, start_response))
         except BaseException:
-            self.leave()
+            self.leave(call)
             raise
-        return _CountedBody(body, self)
+        return _CountedBody(body, self, call)
 
     def drain(self) -> None:
         """Run the phases of a shutdown and return at its end."""
@@ -63,29 +129,45 @@
         while self.phase is not Phase.DONE:
             self._advance()
             threading.Event().wait(_POLL_S)
+        self._log_open("ended")
+
+    def log_left(self) -> None:
+        """Log the requests that are open although the listener has stopped."""
+        self._log_open("left")
+
+    def _log_open(self, outcome: str) -> None:
+        with self._lock:
+            calls = list(self._open)
+        for call in calls:
+            call.log(outcome, self.phase, self._shutdown)
+
+    def hand_over(self, call: OpenCall) -> None:
+        """Count and log the end of a stream that another VM can go on with."""
+        metrics.HANDED_OVER.inc()
+        call.log("handed-over", self.phase, self._shutdown)
 
-    def leave(self) -> None:
+    def leave(self, call: OpenCall) -> None:
         """Count the end of a request."""
         with self._lock:
-            self._open_requests -= 1
+            self._open.discard(call)
 
     def _advance(self) -> None:
         unfinished = self._unfinished()
         with self._lock:
             now_ms = self._clock.elapsed_ms()
-            phase = self._shutdown.phase(now_ms, self._open_requests + unfinished)
+            phase = self._shutdown.phase(now_ms, len(self._open) + unfinished)
             changed = phase is not self.phase
             self.phase = phase
         if changed:
-            log_change("shutdown-phase", phase=phase.value, requests=self._open_requests)
+            log_change("shutdown-phase", phase=phase.value, requests=len(self._open))
 
-    def _closing_connections(self, start_response: StartResponse) -> StartResponse:
+    def _starting(self, call: OpenCall, start_response: StartResponse) -> StartResponse:
         """Close keep-alive connections during a shutdown, so that callers connect elsewhere."""
-        if self.phase is Phase.SERVING:
-            return start_response
+        closing = [] if self.phase is Phase.SERVING else [("Connection", "close")]
 
         def start(status: str, headers: list[tuple[str, str]], *rest: Any) -> Any:
-            return start_response(status, [*headers, ("Connection", "close")], *rest)
+            call.start_answer(headers)
+            return start_response(status, [*headers, *closing], *rest)
 
         return start
 
@@ -93,20 +175,23 @@
 class _CountedBody:
     """Response body that counts as an open request until the server closes it."""
 
-    def __init__(self, body: Iterable[bytes], gate: ShutdownGate):
+    def __init__(self, body: Iterable[bytes], gate: ShutdownGate, call: OpenCall):
         self._body = body
         self._gate = gate
+        self._call = call
         self._closed = False
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield the body; a stream ends early when the phase `HANDING_OVER` begins."""
         if isinstance(self._body, list):
+            self._call.answering = True
             yield from self._body
             return
         for chunk in self._body:
+            self._call.answering = True
             yield chunk
             if self._gate.phase is Phase.HANDING_OVER:
-                metrics.HANDED_OVER.inc()
+                self._gate.hand_over(self._call)
                 return
 
     def close(self) -> None:
@@ -119,7 +204,7 @@
             if close is not None:
                 close()
         finally:
-            self._gate.leave()
+            self._gate.leave(self._call)
 
 
 def _refuse(start_response: StartResponse) -> list[bytes]:
--- /dev/null
+++ b/packages/kernel/tests/test_shutdown_gate.py
@@ -0,0 +1,143 @@
+"""Requests at the gate of an entry VM that is shutting down."""
+
+import io
+import threading
+
+import pytest
+from nutmegdrum import shutdown_gate
+from nutmegdrum.shutdown import Phase, Shutdown
+from nutmegdrum.shutdown_gate import ShutdownGate, body_is_complete
+from nutmegdrum.wsgi import Response, StreamedResponse
+from nutmegdrum_coord.clock import ManualClock
+from nutmegdrum_testing.waiting import wait_for
+
+NOTICE_MS = 3_000
+TIMEOUT_MS = 60_000
+HAND_OVER_MS = 50_000
+
+
+class World:
+    """Gate on a clock of its own; the app's answer to each path is in `answers`."""
+
+    def __init__(self):
+        self.began_ms = 0
+        self.clock = ManualClock(1_000)
+        self.shutdown = Shutdown(NOTICE_MS, TIMEOUT_MS)
+        self.gate = ShutdownGate(self._app, self.clock, self.shutdown, lambda: 0)
+        self.answers = {}
+        self.headers = {}
+        self.statuses = {}
+        self.draining = threading.Thread(target=self.gate.drain)
+
+    def _app(self, environ, start_response):
+        return self.answers[environ["PATH_INFO"]](environ).send(start_response)
+
+    def ask(self, path, method="POST", **environ):
+        """Return the body of the answer as the server gets it."""
+
+        def start(status, headers):
+            self.statuses[path] = status
+            self.headers[path] = dict(headers)
+
+        environ = {"REQUEST_METHOD": method, "PATH_INFO": path, "CONTENT_LENGTH": "2", **environ}
+        return self.gate({"wsgi.input": io.BytesIO(b"{}"), **environ}, start)
+
+    def begin(self):
+        self.began_ms = self.clock.elapsed_ms()
+        self.draining.start()
+        wait_for(lambda: self.gate.phase is Phase.NOTICE)
+
+    def advance_to(self, elapsed_ms, phase):
+        """Move the clock to `elapsed_ms` after the signal."""
+        self.clock.advance(self.began_ms + elapsed_ms - self.clock.elapsed_ms())
+        wait_for(lambda: self.gate.phase is phase)
+
+    def end(self):
+        self.clock.advance(TIMEOUT_MS)
+        self.draining.join(8)
+        assert not self.draining.is_alive()
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    found = []
+    monkeypatch.setattr(
+        shutdown_gate, "log_change", lambda subject, **details: found.append((subject, details))
+    )
+    return lambda: [details for subject, details in found if subject == "request-at-shutdown"]
+
+
+def stream_of(*chunks, generation="g1"):
+    headers = [("Nutmegdrum-Generation", generation)]
+
+    def answer(environ):
+        body_is_complete(environ)
+        return StreamedResponse(200, headers, iter(chunks))
+
+    return answer
+
+
+class TestLinesAboutRequests:
+    def test_a_stream_that_is_handed_over_has_one(self, world, lines):
+        world.answers["/s"] = stream_of(b"a", b"b", b"c")
+        stream = world.ask("/s", HTTP_X_REQUEST_ID="r1")
+        chunks = iter(stream)
+        next(chunks)
+        world.clock.advance(400)
+        world.begin()
+        world.advance_to(HAND_OVER_MS, Phase.HANDING_OVER)
+        assert list(chunks) == []
+        stream.close()
+        assert lines() == [
+            {
+                "outcome": "handed-over",
+                "phase": "handing-over",
+                "method": "POST",
+                "path": "/s",
+                "request": "r1",
+                "generation": "g1",
+                "complete_after_signal_ms": -400,
+                "ended_after_signal_ms": HAND_OVER_MS,
+                "answer_begun": True,
+            }
+        ]
+        world.end()
+
+    def test_each_request_that_is_open_at_the_timeout_has_one(self, world, lines):
+        world.answers["/p"] = stream_of(b"a")
+        bodies = [world.ask("/p") for _ in range(60)]
+        world.begin()
+        world.end()
+        assert [line["outcome"] for line in lines()] == ["ended"] * len(bodies)
+        assert not any(line["answer_begun"] for line in lines())
+
+    def test_a_request_whose_body_is_incomplete_has_no_time(self, world, lines):
+        world.answers["/p"] = lambda environ: StreamedResponse(200, [], iter([b"a"]))
+        world.ask("/p")
+        world.begin()
+        world.end()
+        assert [line["complete_after_signal_ms"] for line in lines()] == [None]
+
+    def test_requests_that_the_listener_left_have_another(self, world, lines):
+        world.answers["/p"] = stream_of(b"a")
+        body = world.ask("/p")
+        world.begin()
+        world.end()
+        world.gate.log_left()
+        body.close()
+        world.gate.log_left()
+        assert [line["outcome"] for line in lines()] == ["ended", "left"]
+
+    def test_requests_that_have_ended_have_none(self, world, lines):
+        world.answers["/p"] = lambda environ: Response(200, b"whole")
+        body = world.ask("/p")
+        world.begin()
+        assert list(body) == [b"whole"]
+        body.close()
+        world.end()
+        assert lines() == []
