Refuse requests that are complete only after the notice of the own gateway's shutdown

Its gate decided by the request's head; the body was read later. A request whose body ended after the notice, even while streams were being handed over, was sent on to a backend server; its stream was then ended after its first events, or its call answered as may-have-run at the time-out, although nothing had to run.

Now Shutdown.may_take decides once the request has been read whole, before anything else gets it. It is refused as not run, and the connection is closed, also if the head came before the signal. Cancellations have no such check.

Before, five tests failed: three of the gate, one of may_take, and both forms of the whole-process test, whose late stream was served with 200. The tests of test_gateway.py passed before; they hold that a refusal by the gate reaches nothing behind the gateway.

--- a/packages/kernel/src/nutmegdrum/shutdown.py
+++ b/packages/kernel/src/nutmegdrum/shutdown.py
@@ -47,6 +47,14 @@
         """Return the time in ms from the start of the shutdown, or None before it."""
         return None if self._began_ms is None else now_ms - self._began_ms
 
+    def may_take(self, complete_ms: int) -> bool:
+        """Return whether a request is served that was complete at `complete_ms`.
+
+        Nothing bounds the time that a request takes, so that one that is complete only after the
+        notice might not end in time.
+        """
+        return self._began_ms is None or complete_ms - self._began_ms < self._notice_ms
+
     def phase(self, now_ms: int, open_requests: int) -> Phase:
         """Return the phase at `now_ms` with `open_requests` unfinished requests."""
         if self._began_ms is None:
--- a/packages/kernel/src/nutmegdrum/shutdown_gate.py
+++ b/packages/kernel/src/nutmegdrum/shutdown_gate.py
@@ -40,8 +40,9 @@
         Whether the server got a part of its answer's body.
     """
 
-    def __init__(self, environ: Environ, clock: Clock):
+    def __init__(self, environ: Environ, clock: Clock, shutdown: Shutdown):
         self._clock = clock
+        self._shutdown = shutdown
         self._method = environ["REQUEST_METHOD"]
         self._path = environ["PATH_INFO"]
         self._request = environ.get("HTTP_X_REQUEST_ID", "")
@@ -50,8 +51,16 @@
         self.answering = False
 
     def complete(self) -> None:
-        """Note that the request has been read whole."""
+        """Note that the request has been read whole.
+
+        Raises
+        ------
+        Refusal
+            If that is too late for this VM, which is shutting down.
+        """
         self.complete_ms = self._clock.elapsed_ms()
+        if not self._shutdown.may_take(self.complete_ms):
+            raise _refusal()
 
     def start_answer(self, headers: list[tuple[str, str]]) -> None:
         """Note the id of the generation that the answer is about."""
@@ -59,7 +68,7 @@
             if name.lower() == GENERATION_HEADER:
                 self._generation = text
 
-    def log(self, outcome: str, phase: Phase, shutdown: Shutdown) -> None:
+    def log(self, outcome: str, phase: Phase) -> None:
         """Write the line about what a shutdown did to the request."""
         complete_ms = self.complete_ms
         log_change(
@@ -71,15 +80,21 @@
             request=self._request[:MAX_LOGGED],
             generation=self._generation,
             complete_after_signal_ms=(
-                None if complete_ms is None else shutdown.after_signal_ms(complete_ms)
+                None if complete_ms is None else self._shutdown.after_signal_ms(complete_ms)
             ),
-            ended_after_signal_ms=shutdown.after_signal_ms(self._clock.elapsed_ms()),
+            ended_after_signal_ms=self._shutdown.after_signal_ms(self._clock.elapsed_ms()),
             answer_begun=self.answering,
         )
 
 
 def body_is_complete(environ: Environ) -> None:
-    """Tell the gate, if there is one, that the request has been read whole."""
+    """Tell the gate, if there is one, that the request has been read whole.
+
+    Raises
+    ------
+    Refusal
+        If the request is complete too late; it must not be sent on then.
+    """
     call = environ.get(CALL)
     if call is not None:
         call.complete()
@@ -109,7 +124,7 @@
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request, or refuse it as not run if the VM is shutting down."""
-        call = OpenCall(environ, self._clock)
+        call = OpenCall(environ, self._clock, self._shutdown)
         with self._lock:
             admitted = self.phase in _ADMITTING
             if admitted:
@@ -139,12 +154,12 @@
         with self._lock:
             calls = list(self._open)
         for call in calls:
-            call.log(outcome, self.phase, self._shutdown)
+            call.log(outcome, self.phase)
 
     def hand_over(self, call: OpenCall) -> None:
         """Count and log the end of a stream that another VM can go on with."""
         metrics.HANDED_OVER.inc()
-        call.log("handed-over", self.phase, self._shutdown)
+        call.log("handed-over", self.phase)
 
     def leave(self, call: OpenCall) -> None:
         """Count the end of a request."""
@@ -163,9 +178,11 @@
 
     def _starting(self, call: OpenCall, start_response: StartResponse) -> StartResponse:
         """Close keep-alive connections during a shutdown, so that callers connect elsewhere."""
-        closing = [] if self.phase is Phase.SERVING else [("Connection", "close")]
 
         def start(status: str, headers: list[tuple[str, str]], *rest: Any) -> Any:
+            # The shutdown may have begun while the request was served.
+            stops = self._shutdown.after_signal_ms(self._clock.elapsed_ms()) is not None
+            closing = [("Connection", "close")] if stops else []
             call.start_answer(headers)
             return start_response(status, [*headers, *closing], *rest)
 
@@ -207,8 +224,12 @@
             self._gate.leave(self._call)
 
 
+def _refusal() -> Refusal:
+    return Refusal(SHUTTING_DOWN, Verdict.NOT_RUN, RETRY_AFTER_MS, "this VM is shutting down")
+
+
 def _refuse(start_response: StartResponse) -> list[bytes]:
-    refusal = Refusal(SHUTTING_DOWN, Verdict.NOT_RUN, RETRY_AFTER_MS, "this VM is shutting down")
+    refusal = _refusal()
     metrics.REFUSALS.labels(refusal.why.code, refusal.verdict.value).inc()
     problem = problem_of(refusal)
     headers = [*problem_headers(problem), ("Connection", "close")]
--- a/packages/kernel/tests/test_gateway.py
+++ b/packages/kernel/tests/test_gateway.py
@@ -6,7 +6,8 @@
 from nutmegdrum.gateway import Gateway
 from nutmegdrum.service_tally import ServiceTally
 from nutmegdrum.settings import WorkspaceSettings
-from nutmegdrum_coord.verdict import OVERLOADED, Refusal, Verdict
+from nutmegdrum.shutdown_gate import CALL
+from nutmegdrum_coord.verdict import OVERLOADED, SHUTTING_DOWN, Refusal, Verdict
 
 
 def headers_of_refusal(sent, **environ):
@@ -56,3 +57,69 @@
         headers = headers_of_refusal(sent, **environ)
         assert ("nutmegdrum-sent" in headers) is marked
         assert headers["nutmegdrum-verdict"] == "not-run"
+
+
+class RefusingCall:
+    """Request that is complete after the notice of a shutdown."""
+
+    def complete(self):
+        raise Refusal(SHUTTING_DOWN, Verdict.NOT_RUN, 1_000)
+
+
+class Gatewayed:
+    """Gateway whose components note what reaches them."""
+
+    def __init__(self):
+        self.reached = []
+        self.status = ""
+        workspace = WorkspaceSettings(id="w", key_sha256=sha256(b"k").hexdigest())
+        self.gateway = Gateway(
+            SimpleNamespace(
+                cfg=SimpleNamespace(workspaces=[workspace]),
+                clock=SimpleNamespace(elapsed_ms=lambda: 0),
+                generations=SimpleNamespace(
+                    start=self.note, cancel=lambda *args: self.reached.append("cancel")
+                ),
+                plain=SimpleNamespace(find_route=lambda path: SimpleNamespace(service="s")),
+                admission=SimpleNamespace(admit=self.note),
+                passing_on=SimpleNamespace(answer=self.note),
+                rng=SimpleNamespace(getrandbits=lambda bits: 1),
+                tally=ServiceTally(),
+            )
+        )
+
+    def note(self, *args):
+        self.reached.append(args)
+        raise Refusal(OVERLOADED, Verdict.NOT_RUN, 1_000)
+
+    def ask(self, method, path):
+        """Return the answer to a request that the gate turns away once it is complete."""
+
+        def start(status, headers):
+            self.status = status
+
+        body = b'{"model": "m", "prompt": "p"}'
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "HTTP_AUTHORIZATION": "Bearer k",
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+            CALL: RefusingCall(),
+        }
+        return b"".join(self.gateway(environ, start))
+
+
+class TestRequestsCompleteAfterTheNotice:
+    @pytest.mark.parametrize("path", ["/v1/completions", "/v1/chat/completions", "/farm/beets"])
+    def test_reach_nothing(self, path):
+        world = Gatewayed()
+        assert b"shutting-down" in world.ask("POST", path)
+        assert world.status.startswith("503")
+        assert world.reached == []
+
+    def test_cancellations_are_accepted(self):
+        world = Gatewayed()
+        assert world.ask("DELETE", "/v1/generations/g1") == b""
+        assert world.status.startswith("204")
+        assert world.reached == ["cancel"]
--- a/packages/kernel/tests/test_shutdown.py
+++ b/packages/kernel/tests/test_shutdown.py
@@ -32,3 +32,10 @@
     def test_second_signal_does_not_restart_the_shutdown(self, shutdown):
         shutdown.begin(50_000)
         assert shutdown.phase(1_000 + TIMEOUT_MS, 1) is Phase.DONE
+
+    def test_takes_what_is_complete_within_the_notice(self, shutdown):
+        assert Shutdown(NOTICE_MS, TIMEOUT_MS).may_take(10**9)
+        assert shutdown.may_take(999)
+        assert shutdown.may_take(1_000 + NOTICE_MS - 1)
+        assert not shutdown.may_take(1_000 + NOTICE_MS)
+        assert not shutdown.may_take(1_000 + TIMEOUT_MS)
--- a/packages/kernel/tests/test_shutdown_gate.py
+++ b/packages/kernel/tests/test_shutdown_gate.py
@@ -3,12 +3,15 @@
 import io
 import threading
 
+import msgspec
 import pytest
 from nutmegdrum import shutdown_gate
+from nutmegdrum.problems import problem_headers, problem_of
 from nutmegdrum.shutdown import Phase, Shutdown
 from nutmegdrum.shutdown_gate import ShutdownGate, body_is_complete
 from nutmegdrum.wsgi import Response, StreamedResponse
 from nutmegdrum_coord.clock import ManualClock
+from nutmegdrum_coord.verdict import Refusal
 from nutmegdrum_testing.waiting import wait_for
 
 NOTICE_MS = 3_000
@@ -25,6 +28,7 @@
         self.shutdown = Shutdown(NOTICE_MS, TIMEOUT_MS)
         self.gate = ShutdownGate(self._app, self.clock, self.shutdown, lambda: 0)
         self.answers = {}
+        self.served = []
         self.headers = {}
         self.statuses = {}
         self.draining = threading.Thread(target=self.gate.drain)
@@ -42,6 +46,21 @@
         environ = {"REQUEST_METHOD": method, "PATH_INFO": path, "CONTENT_LENGTH": "2", **environ}
         return self.gate({"wsgi.input": io.BytesIO(b"{}"), **environ}, start)
 
+    def serve(self, path, during):
+        """Serve `path`; `during` is called while its body is read."""
+
+        def answer(environ):
+            during()
+            try:
+                body_is_complete(environ)
+            except Refusal as refusal:
+                problem = problem_of(refusal)
+                return Response(503, msgspec.json.encode(problem), problem_headers(problem))
+            self.served.append(path)
+            return Response(200, b"whole")
+
+        self.answers[path] = answer
+
     def begin(self):
         self.began_ms = self.clock.elapsed_ms()
         self.draining.start()
@@ -82,6 +101,41 @@
     return answer
 
 
+class TestRequestsCompleteAfterTheNotice:
+    @pytest.mark.parametrize(
+        ("elapsed_ms", "phase"),
+        [(NOTICE_MS, Phase.DRAINING), (HAND_OVER_MS, Phase.HANDING_OVER)],
+    )
+    def test_are_refused_as_not_run_before_they_are_served(self, world, elapsed_ms, phase):
+        world.serve("/late", during=lambda: world.advance_to(elapsed_ms, phase))
+        world.begin()
+        problem = msgspec.json.decode(b"".join(world.ask("/late")))
+        assert world.statuses["/late"].startswith("503")
+        assert (problem["reason"], problem["verdict"]) == ("shutting-down", "not-run")
+        assert world.headers["/late"]["Connection"] == "close"
+        assert world.served == []
+        world.end()
+
+    def test_are_refused_also_if_their_heads_came_before_the_signal(self, world):
+        def stop():
+            world.begin()
+            world.advance_to(NOTICE_MS, Phase.DRAINING)
+
+        world.serve("/late", during=stop)
+        body = world.ask("/late")
+        assert world.statuses["/late"].startswith("503")
+        assert world.headers["/late"]["Connection"] == "close"
+        assert world.served == []
+        body.close()
+        world.end()
+
+    def test_those_complete_within_it_are_served(self, world):
+        world.serve("/s", during=lambda: world.advance_to(NOTICE_MS - 1, Phase.NOTICE))
+        world.begin()
+        assert b"".join(world.ask("/s")) == b"whole"
+        world.end()
+
+
 class TestLinesAboutRequests:
     def test_a_stream_that_is_handed_over_has_one(self, world, lines):
         world.answers["/s"] = stream_of(b"a", b"b", b"c")
--- a/packages/kernel/tests/test_shutdown_processes.py
+++ b/packages/kernel/tests/test_shutdown_processes.py
@@ -1,7 +1,9 @@
 import os
 import signal
+import socket
 from concurrent.futures import ThreadPoolExecutor
 
+import msgspec
 import pytest
 from nutmegdrum_testing.callers import RunningStream
 from nutmegdrum_testing.deployment import Deployment, Options
@@ -22,6 +24,33 @@
     )
 
 
+class LateBody:
+    """Request for a generation at the first entry VM, of which the last byte is not sent yet."""
+
+    def __init__(self, caller, model, chunked):
+        body = msgspec.json.encode(
+            {"model": model, "prompt": "late", "max_tokens": 3, "stream": True}
+        )
+        length = f"Content-Length: {len(body)}"
+        if chunked:
+            length = "Transfer-Encoding: chunked"
+            body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        head = (
+            f"POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+            f"Authorization: Bearer {caller._key}\r\n{length}\r\n\r\n"
+        )
+        host, _, port = caller.addresses[0].removeprefix("http://").rpartition(":")
+        self._sock = socket.create_connection((host, int(port)), 8)
+        self._last = body[-1:]
+        self._sock.sendall(head.encode() + body[:-1])
+
+    def end(self):
+        """Send the last byte and return the whole answer."""
+        self._sock.sendall(self._last)
+        with self._sock, self._sock.makefile("rb") as file:
+            return file.read()
+
+
 def terminate(daemon):
     os.kill(daemon.pid, signal.SIGTERM)
 
@@ -52,6 +81,25 @@
         wait_for(lambda: exited(daemon))
         assert daemon.running.exit_code == 0
 
+    @pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunks"])
+    def test_a_request_whose_body_ends_after_the_notice_is_refused_as_not_run(
+        self, deployment, chunked
+    ):
+        daemon = deployment.daemon("n1")
+        caller = deployment.caller()
+        stream = RunningStream(caller, "m", "p", TOKENS, entry=0)
+        wait_for(lambda: stream.count > 5)
+        late = LateBody(caller, "m", chunked)
+        terminate(daemon)
+        wait_for(lambda: _problem(caller.generate("m", "late", 3, entry=0)))
+        answer = late.end()
+        assert answer.startswith(b"HTTP/1.1 503"), answer
+        assert b"shutting-down" in answer
+        assert b"not-run" in answer
+        assert b"connection: close" in answer.lower()
+        stream.join().check(TOKENS)
+        wait_for(lambda: exited(daemon))
+
     def test_streams_running_at_the_timeout_resume_at_another_vm(self):
         with Deployment(options("3s")) as deployment:
             daemon = deployment.daemon("n1")
