Deliver streams whose generation has ended at the end of the own gateway's shutdown

While streams are handed over, each was ended after the next event that its caller had taken, whatever was left of it: a stream whose generation had ended, but whose caller was slow, was sent to another VM for a rest that was here already, and one whose finish had been sent lost its [DONE]. A stream whose caller took an event only after the time-out was not handed over, but went on reading.

Now a stream's body says whether its rest has arrived (the finish is confirmed or sent, or the stream has failed), and is delivered then; others are handed over, also after the time-out.

Three of the new tests failed before (run with Answer's new field left out): the rest missing, the [DONE] missing, and a stream that went on after the time-out. That running streams are handed over passed before. They are tests of the gate and the completion handler on a clock of their own; no whole process shows it. Not mended: streams that another VM serves for this one are handed over as before.

--- a/packages/kernel/src/nutmegdrum/completion_handler.py
+++ b/packages/kernel/src/nutmegdrum/completion_handler.py
@@ -80,7 +80,8 @@
             ("Cache-Control", "no-store"),
             (GENERATION_HEADER, answer.generation),
         ]
-        return StreamedResponse(200, headers, self._events(answer, first, req))
+        read = _Read(answer, first)
+        return StreamedResponse(200, headers, self._events(read, req), read.has_arrived)
 
     def cancel(self, workspace: WorkspaceSettings, name: str) -> None:
         """Cancel the generation with the id `name`; an id of one of its events works as well.
@@ -93,12 +94,12 @@
         generation = GenerationId(name.partition(".")[0])
         self._generations.cancel(workspace.id, generation)
 
-    def _events(self, answer: Answer, first: ReadBatch, req: CallerRequest) -> Iterator[bytes]:
+    def _events(self, read: "_Read", req: CallerRequest) -> Iterator[bytes]:
+        answer = read.answer
         generation_req = answer.request
         encoder = sse.EventEncoder(answer.generation, generation_req.model, generation_req.chat)
         try:
-            yield encoder.batch(first)
-            for part in answer.items:
+            for part in read.parts():
                 yield encoder.batch(part)
             self._tally.finished(generation_req.workspace)
             yield sse.DONE
@@ -110,6 +111,7 @@
                 return
             count_refusal(refusal)
             self._tally.refused(generation_req.workspace, refusal.verdict)
+            read.over = True
             yield sse.failure(problem_of(refusal))
         finally:
             answer.items.close()
@@ -126,6 +128,33 @@
         raise v.Refusal(v.BACKEND_LOST, v.Verdict.MAY_HAVE_RUN)
 
 
+class _Read:
+    """Items of an answer that are read for a stream.
+
+    Attributes
+    ----------
+    over : bool
+        Whether no more items will be read, as the stream failed.
+    """
+
+    def __init__(self, answer: Answer, first: ReadBatch):
+        self.answer = answer
+        self.over = False
+        self._last = first
+
+    def parts(self) -> Iterator[ReadBatch]:
+        """Yield the items."""
+        yield self._last
+        for part in self.answer.items:
+            self._last = part
+            yield part
+
+    def has_arrived(self) -> bool:
+        """Return whether no item has to be waited for."""
+        finished = any(isinstance(item, Finish) for item in self._last.items[-1:])
+        return self.over or finished or self.answer.has_ended()
+
+
 def _collect(part: ReadBatch, texts: list[str]) -> Finish | None:
     for item in part.items:
         if isinstance(item, Finish):
--- a/packages/kernel/src/nutmegdrum/generations.py
+++ b/packages/kernel/src/nutmegdrum/generations.py
@@ -1,7 +1,7 @@
 """Start, join, resumption and cancellation of generations on an entry VM."""
 
 import threading
-from collections.abc import Generator, Iterator
+from collections.abc import Callable, Generator, Iterator
 from random import Random
 from typing import NamedTuple
 
@@ -53,11 +53,18 @@
 
 
 class Answer(NamedTuple):
-    """Generation with its request and an iterator over its items."""
+    """Generation with its request and an iterator over its items.
+
+    Attributes
+    ----------
+    has_ended : callable
+        Returns whether all items that are left are there.
+    """
 
     generation: GenerationId
     request: GenerationRequest
     items: Items
+    has_ended: Callable[[], bool] = lambda: False
 
 
 class Generations:
@@ -164,7 +171,7 @@
         self, session: Session, first_index: int, until: ElapsedMs | None = None
     ) -> Answer:
         items = self._read(session, first_index, until)
-        return Answer(session.generation, session.stream.req, items)
+        return Answer(session.generation, session.stream.req, items, lambda: session.done)
 
     def _read(self, session: Session, first_index: int, until: ElapsedMs | None = None) -> Items:
         self._sessions.enter(session)
--- a/packages/kernel/src/nutmegdrum/shutdown_gate.py
+++ b/packages/kernel/src/nutmegdrum/shutdown_gate.py
@@ -12,7 +12,7 @@
 from nutmegdrum.logs import log_change
 from nutmegdrum.problems import problem_headers, problem_of
 from nutmegdrum.shutdown import Phase, Shutdown
-from nutmegdrum.wsgi import Environ, Response, StartResponse, WsgiApp
+from nutmegdrum.wsgi import Environ, Response, StartResponse, StreamedBody, WsgiApp
 
 RETRY_AFTER_MS = 1_000
 """Backoff hint of refusals during a shutdown, in ms."""
@@ -26,6 +26,7 @@
 """Characters of a caller's text that are logged."""
 
 _ADMITTING = (Phase.SERVING, Phase.NOTICE)
+_ENDING = (Phase.HANDING_OVER, Phase.DONE)
 _POLL_S = 0.02
 
 
@@ -199,7 +200,7 @@
         self._closed = False
 
     def __iter__(self) -> Iterator[bytes]:
-        """Yield the body; a stream ends early when the phase `HANDING_OVER` begins."""
+        """Yield the body; a stream whose rest has not come ends early at the end of a shutdown."""
         if isinstance(self._body, list):
             self._call.answering = True
             yield from self._body
@@ -207,10 +208,13 @@
         for chunk in self._body:
             self._call.answering = True
             yield chunk
-            if self._gate.phase is Phase.HANDING_OVER:
+            if self._gate.phase in _ENDING and not self._has_arrived():
                 self._gate.hand_over(self._call)
                 return
 
+    def _has_arrived(self) -> bool:
+        return isinstance(self._body, StreamedBody) and self._body.has_arrived()
+
     def close(self) -> None:
         """End the response."""
         if self._closed:
--- a/packages/kernel/src/nutmegdrum/wsgi.py
+++ b/packages/kernel/src/nutmegdrum/wsgi.py
@@ -67,6 +67,30 @@
         return [self.body]
 
 
+class StreamedBody:
+    """Body that is produced while it is sent.
+
+    Parameters
+    ----------
+    has_arrived : callable
+        Returns whether the rest of the body is there, so that nothing has to be waited for.
+    """
+
+    def __init__(self, chunks: Iterator[bytes], has_arrived: Callable[[], bool]):
+        self._chunks = chunks
+        self.has_arrived = has_arrived
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Return the chunks."""
+        return self._chunks
+
+    def close(self) -> None:
+        """End the production."""
+        close = getattr(self._chunks, "close", None)
+        if close is not None:
+            close()
+
+
 class StreamedResponse:
     """Response whose body is produced while it is sent.
 
@@ -74,17 +98,25 @@
     ----------
     chunks : Iterator of bytes
         The body; closed when its caller disconnects.
+    has_arrived : callable
+        Returns whether the rest of the body is there, so that nothing has to be waited for.
     """
 
-    def __init__(self, status: int, headers: list[tuple[str, str]], chunks: Iterator[bytes]):
+    def __init__(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        chunks: Iterator[bytes],
+        has_arrived: Callable[[], bool] = lambda: False,
+    ):
         self.status = status
         self.headers = headers
-        self._chunks = chunks
+        self._body = StreamedBody(chunks, has_arrived)
 
-    def send(self, start_response: StartResponse) -> Iterator[bytes]:
+    def send(self, start_response: StartResponse) -> StreamedBody:
         """Send the status and headers, and return the body."""
         start_response(status_line(self.status), self.headers)
-        return self._chunks
+        return self._body
 
 
 def status_line(status: int) -> str:
--- a/packages/kernel/tests/test_shutdown_gate.py
+++ b/packages/kernel/tests/test_shutdown_gate.py
@@ -1,17 +1,26 @@
 """Requests at the gate of an entry VM that is shutting down."""
 
 import io
+import random
 import threading
+from types import SimpleNamespace
 
 import msgspec
 import pytest
-from nutmegdrum import shutdown_gate
+from nutmegdrum import shutdown_gate, sse
+from nutmegdrum.completion_handler import CompletionHandler
+from nutmegdrum.generations import Answer
+from nutmegdrum.messages import Finish, FinishReason, Token
+from nutmegdrum.peer_exchange import CallerRequest
 from nutmegdrum.problems import problem_headers, problem_of
+from nutmegdrum.service_tally import ServiceTally
+from nutmegdrum.session import ReadBatch
 from nutmegdrum.shutdown import Phase, Shutdown
 from nutmegdrum.shutdown_gate import ShutdownGate, body_is_complete
 from nutmegdrum.wsgi import Response, StreamedResponse
 from nutmegdrum_coord.clock import ManualClock
-from nutmegdrum_coord.verdict import Refusal
+from nutmegdrum_coord.ids import GenerationId
+from nutmegdrum_coord.verdict import BACKEND_LOST, Refusal, Verdict
 from nutmegdrum_testing.waiting import wait_for
 
 NOTICE_MS = 3_000
@@ -136,6 +145,109 @@
         world.end()
 
 
+class Generation:
+    """Stream through the completion handler, of a generation whose rest can be set to have come."""
+
+    def __init__(self):
+        self.has_ended = False
+        self.failure = None
+        self._handler = CompletionHandler(
+            SimpleNamespace(start=self._start),
+            random.Random(1),
+            ServiceTally(),
+            SimpleNamespace(answer=lambda service, req, own: own(), resume=lambda *args: None),
+        )
+
+    def _start(self, workspace, req, last_event_id, passed_on):
+        return Answer(GenerationId("g1"), req, self._items(), lambda: self.has_ended)
+
+    def _items(self):
+        yield ReadBatch(1, [Token(0, "red")])
+        if self.failure is not None:
+            raise self.failure
+        yield ReadBatch(1, [Token(1, "beet")])
+        yield ReadBatch(1, [Finish(FinishReason.STOP, 2)])
+
+    def answer(self, environ):
+        body = b'{"model": "m", "prompt": "p", "stream": true}'
+        body_is_complete(environ)
+        req = CallerRequest("POST", "/v1/completions", {}, body, 0, resumable=True)
+        return self._handler.answer(SimpleNamespace(id="w"), False, req)
+
+
+class TestStreamsOfSlowCallers:
+    @pytest.fixture
+    def generation(self, world):
+        generation = Generation()
+        world.answers["/s"] = generation.answer
+        return generation
+
+    @pytest.fixture
+    def stream(self, world, generation):
+        return world.ask("/s")
+
+    def test_are_delivered_whole_if_their_generation_has_ended(
+        self, world, generation, stream, lines
+    ):
+        chunks = iter(stream)
+        got = next(chunks)
+        world.begin()
+        world.advance_to(HAND_OVER_MS, Phase.HANDING_OVER)
+        generation.has_ended = True
+        got += b"".join(chunks)
+        stream.close()
+        assert b"beet" in got
+        assert got.endswith(sse.DONE)
+        world.end()
+        assert lines() == []
+
+    def test_have_their_last_event_if_the_finish_has_been_taken(self, world, stream, lines):
+        chunks = iter(stream)
+        got = b"".join(next(chunks) for _ in range(3))
+        assert b"finish_reason" in got
+        world.begin()
+        world.advance_to(HAND_OVER_MS, Phase.HANDING_OVER)
+        assert b"".join(chunks) == sse.DONE
+        stream.close()
+        world.end()
+        assert lines() == []
+
+    def test_are_handed_over_while_their_generation_runs(self, world, stream, lines):
+        chunks = iter(stream)
+        next(chunks)
+        world.begin()
+        world.advance_to(HAND_OVER_MS, Phase.HANDING_OVER)
+        assert list(chunks) == []
+        stream.close()
+        assert [line["outcome"] for line in lines()] == ["handed-over"]
+        world.end()
+
+    def test_that_fail_are_not_counted_as_handed_over(self, world, generation, lines):
+        generation.failure = Refusal(BACKEND_LOST, Verdict.MAY_HAVE_RUN)
+        stream = world.ask("/s")
+        world.begin()
+        chunks = iter(stream)
+        next(chunks)
+        got = next(chunks)
+        world.advance_to(HAND_OVER_MS, Phase.HANDING_OVER)
+        assert list(chunks) == []
+        stream.close()
+        assert b"backend-lost" in got
+        world.end()
+        assert lines() == []
+
+    def test_are_handed_over_also_if_the_time_is_up_when_an_event_has_been_taken(
+        self, world, stream, lines
+    ):
+        chunks = iter(stream)
+        next(chunks)
+        world.begin()
+        world.end()
+        assert list(chunks) == []
+        stream.close()
+        assert [line["outcome"] for line in lines()] == ["ended", "handed-over"]
+
+
 class TestLinesAboutRequests:
     def test_a_stream_that_is_handed_over_has_one(self, world, lines):
         world.answers["/s"] = stream_of(b"a", b"b", b"c")
