--- a/packages/kernel/tests/test_gateway.py
+++ b/packages/kernel/tests/test_gateway.py
@@ -1,4 +1,5 @@
 import io
+import socket
 from hashlib import sha256
 from types import SimpleNamespace
 
@@ -7,6 +8,8 @@
 from nutmegdrum.service_tally import ServiceTally
 from nutmegdrum.settings import WorkspaceSettings
 from nutmegdrum.shutdown_gate import CALL
+from nutmegdrum.units import Address
+from nutmegdrum.wsgi import HttpListener
 from nutmegdrum_coord.verdict import OVERLOADED, SHUTTING_DOWN, Refusal, Verdict
 
 
@@ -123,3 +126,19 @@
         assert world.ask("DELETE", "/v1/generations/g1") == b""
         assert world.status.startswith("204")
         assert world.reached == ["cancel"]
+
+
+class TestMalformedBody:
+    def test_is_refused_with_its_status(self):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        listener = HttpListener(Address(f"127.0.0.1:{port}"), Gatewayed().gateway, threads=2)
+        listener.start()
+        with socket.create_connection(("127.0.0.1", port), 8) as caller:
+            caller.sendall(
+                b"POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"
+            )
+            assert caller.recv(4_096).startswith(b"HTTP/1.1 400")
+        listener.stop()
