Wait for threads that are being added also if a listener stops at once

By reading: a listener that stops without time for its calls, as tests stop theirs, did not wait for the step that adds threads. A new thread that is not listed yet takes the end marker of another one, which the stop then waits for without end; or it never gets one. In a daemon the stop is bounded by the exit.

The test holds a thread in that state; before, it was still alive after the stop.

--- a/packages/relay/src/nutmegdrum_relay/callers.py
+++ b/packages/relay/src/nutmegdrum_relay/callers.py
@@ -41,6 +41,9 @@
 POOL_CHECK_INTERVAL = Duration(100)
 """Interval of the check for idle threads."""
 
+POOL_STEP_TIMEOUT = Duration(1_000)
+"""Time for threads to be added; cheroot looks at each new one every tenth of a second."""
+
 _MS_PER_S = 1_000
 _SINGLE_VALUE = frozenset({b"Content-Length", b"Host", b"Transfer-Encoding"})
 
@@ -312,8 +315,8 @@
     def stop(self, wait: Duration) -> None:
         """Close the listener and idle connections, and wait at most `wait` for running calls."""
         self._pool_loop.stop()
-        # cheroot does not wait for threads that are still being added.
-        self._pool_loop.join(wait)
+        # cheroot does not wait for threads that are still being added, and does not end them.
+        self._pool_loop.join(Duration(max(wait, POOL_STEP_TIMEOUT)))
         serve_pending_connections(self._server)
         # With a time-out cheroot measures it by the wall clock, and a jump would end running calls.
         self._server.shutdown_timeout = None
--- a/packages/relay/tests/test_callers.py
+++ b/packages/relay/tests/test_callers.py
@@ -112,6 +112,28 @@
         assert not stopping.is_alive()
         backend.stop()
 
+    def test_ends_threads_that_are_being_added(self):
+        world = RelayWorld(document(), threads=MIN_THREADS + 1)
+        pool = world.listener._server.requests
+        spawn, added, is_added = pool._spawn_worker, [], threading.Event()
+
+        def spawn_slowly():
+            added.append(spawn())
+            is_added.wait(8)
+            return added[0]
+
+        pool._spawn_worker = spawn_slowly
+        world.listener._min_idle_threads = MIN_THREADS + 1
+        wait_for(lambda: added)
+        stopping = threading.Thread(target=world.listener.stop, args=(Duration(0),))
+        stopping.start()
+        with contextlib.suppress(TimeoutError):
+            wait_for(lambda: not pool._threads, 0.5)
+        is_added.set()
+        stopping.join(8)
+        assert not stopping.is_alive()
+        wait_for(lambda: not added[0].is_alive())
+
     def test_a_jump_of_the_wall_clock_ends_no_call(self, world, monkeypatch):
         may_end, hour_s = threading.Event(), 3_600
 
