--- a/packages/testing/src/nutmegdrum_testing/soak/stops.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/stops.py
@@ -251,9 +251,8 @@
             life = [each for each in self.lives if each.entry == number][-1]
             life.stopped_s = self._stopped_s = time.monotonic()
         is_disturbed = rng.random() < AMID_SHARE
-        amid = (lambda: self._disturb_stop(entry, rng)) if is_disturbed else (lambda: None)
         stopped_at = time.time()
-        took_s = self._terminate(entry, amid) - life.stopped_s
+        took_s = self._terminate(entry, rng if is_disturbed else None) - life.stopped_s
         life.ended_s = min(life.stopped_s + took_s, time.monotonic())
         self.longest_stop_s = max(self.longest_stop_s, took_s)
         self._check_end(entry, took_s, life.is_other, stopped_at)
@@ -262,7 +261,9 @@
         with self._lock:
             self.lives.append(Life(number, time.monotonic(), entry.builds.is_other))
 
-    def _disturb_stop(self, entry: "Daemon", rng: random.Random) -> None:
+    def _disturb_stop(
+        self, entry: "Daemon", rng: random.Random, ends_within: Callable[[float], bool]
+    ) -> None:
         """Send SIGTERM again, SIGHUP, and change the settings, while a stop runs."""
         actions: list[Callable[[], None]] = [
             entry.process.terminate,
@@ -270,20 +271,30 @@
             lambda: entry.rewrite_settings(True),
         ]
         for action in rng.sample(actions, rng.randint(1, len(actions))):
-            time.sleep(rng.uniform(0.0, 1.0))
-            if entry.process.exit_code is not None:
+            if ends_within(rng.uniform(0.0, 1.0)):
                 return
             action()
 
-    def _terminate(self, daemon: "Daemon", amid: Callable[[], None]) -> float:
-        """Send SIGTERM, play `amid`, wait for the end and return its monotonic time in s."""
+    def _terminate(self, daemon: "Daemon", rng: random.Random | None = None) -> float:
+        """Send SIGTERM, wait for the end and return its monotonic time in s.
+
+        Parameters
+        ----------
+        rng : random.Random or None
+            Draws what disturbs the stop; None for nothing.
+        """
         # Popen's wait with a time-out polls, and would tell the end late. A young process ends at
         # once, and must not be looked for later.
         ended = os.pidfd_open(daemon.process.pid)
+
+        def ends_within(seconds: float) -> bool:
+            return bool(select.select([ended], [], [], seconds)[0])
+
         try:
             daemon.process.terminate()
-            amid()
-            if select.select([ended], [], [], END_S)[0]:
+            if rng is not None:
+                self._disturb_stop(daemon, rng, ends_within)
+            if ends_within(END_S):
                 return time.monotonic()
         finally:
             os.close(ended)
@@ -313,7 +324,7 @@
             replica = rng.choice(self._world.replicas)
             stopped_s = time.monotonic()
             stopped_at = time.time()
-            took_s = self._terminate(replica, lambda: None) - stopped_s
+            took_s = self._terminate(replica) - stopped_s
             self._check_end(replica, took_s, replica.builds.is_other, stopped_at)
             replica.start_again()
 
