--- a/packages/relay/src/nutmegdrum_relay/planned_stop.py
+++ b/packages/relay/src/nutmegdrum_relay/planned_stop.py
@@ -8,8 +8,8 @@
 """Fraction of the time until the process is killed at which calls that wait for backend servers are
 ended; docs/design/platform.md, shutdown."""
 
-EXIT_FRACTION = 0.975
-"""Fraction of that time at which the process exits at the latest, whatever still runs."""
+EXIT_FRACTION = 0.95
+"""Fraction of that time at which the process begins to exit at the latest, whatever still runs."""
 
 
 class PlannedStop(NamedTuple):
