Reset answers without chunks that are left when a stopping process exits

Calls that wait for a slow caller may now run until the process exits. The exit closes their connections in order, and an answer to an HTTP/1.0 caller, whose end only the end of the connection tells, would look complete although it was cut.

The calls that are left are aborted right before the exit, as other calls are that end early: such an answer is reset, others end without their last chunk. The test failed before (no linger time of 0 on the caller's socket).

--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -247,7 +247,7 @@
             stopping.join(self._left(answered_ms) / _MS_PER_S)
         for each in listeners:
             each.linger(min(LINGER_AT_STOP, self._left(stop.exits_ms)))
-        self._relay.log_calls_left()
+        self._relay.abort_calls_left()
         log_decision("drained", calls_left=self._calls)
 
     def _end_calls(self, stop: PlannedStop) -> None:
--- a/packages/relay/src/nutmegdrum_relay/relay.py
+++ b/packages/relay/src/nutmegdrum_relay/relay.py
@@ -172,12 +172,17 @@
             log_unlimited("call_ended_by_stop", **state)
         return len(running)
 
-    def log_calls_left(self) -> None:
-        """Log the calls that still run when the process ends."""
+    def abort_calls_left(self) -> None:
+        """Abort and log the calls that still run right before the process exits.
+
+        The exit closes their connections, which must not look like the end of an answer.
+        """
         with self._lock:
             running = dict(self._running)
         for pending, call in running.items():
-            log_unlimited("call_left_at_exit", **self._state(pending, call))
+            state = self._state(pending, call)
+            call.abort()
+            log_unlimited("call_left_at_exit", **state)
 
     def _state(self, pending: PendingRequest, call: Call) -> dict[str, object]:
         """Return what tells why a call is still running, for the log; times are from the signal."""
--- a/packages/relay/tests/test_planned_stop.py
+++ b/packages/relay/tests/test_planned_stop.py
@@ -7,7 +7,7 @@
 
 import eliot
 import pytest
-from nutmegdrum.sockets import is_readable
+from nutmegdrum.sockets import RESET_ON_CLOSE, is_readable
 from nutmegdrum.units import Duration
 from nutmegdrum_relay.call_durations import CallDurations
 from nutmegdrum_relay.callers import LAST_CHUNK, Call
@@ -254,6 +254,25 @@
         status, _, body = get(world, "/stream/x", "POST")
         assert (status, numbers(body)) == (200, [1])
 
+    def test_an_answer_without_chunks_that_is_left_at_the_exit_is_reset(self, world):
+        may_end = threading.Event()
+
+        def send(received):
+            received.start_events(X_Id=received.headers["x-id"])
+            received.event(1)
+            may_end.wait(10)
+
+        world.add(send)
+        with socket.create_connection((world.address.host, world.address.port), 10) as caller:
+            fields = "".join(f"{name}: {value}\r\n" for name, value in headers().items())
+            caller.sendall(f"POST /stream/x HTTP/1.0\r\n{fields}\r\n".encode())
+            wait_for(lambda: b"id: 1" in caller.recv(65_536, socket.MSG_PEEK))
+            (call,) = world.relay._running.values()
+            world.relay.abort_calls_left()
+            linger = call.socket.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+            may_end.set()
+        assert linger == RESET_ON_CLOSE
+
     def test_calls_that_come_later_are_not_sent(self, world):
         (backend,) = world.add(answers(200))
         world.relay.end_calls()
