--- a/packages/kernel/src/nutmegdrum/gateway.py
+++ b/packages/kernel/src/nutmegdrum/gateway.py
@@ -59,9 +59,9 @@
             if refusal.sent and PASSED_ON_HEADER in request_headers(environ):
                 answer.headers.append((SENT_HEADER, "1"))
             return answer.send(start_response)
-        except Response as refusal:
+        except Response as answer:
             # The body was malformed or too large.
-            return refusal.send(start_response)
+            return answer.send(start_response)
 
     def _answer(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         headers = request_headers(environ)
--- a/packages/relay/src/nutmegdrum_relay/call_progress.py
+++ b/packages/relay/src/nutmegdrum_relay/call_progress.py
@@ -5,7 +5,21 @@
 
 
 class CallPhase(Enum):
-    """What a running call waits for."""
+    """What a running call waits for.
+
+    Attributes
+    ----------
+    UNSENT
+        A backend server, or a permit to send to one.
+    SENT
+        The answer's head.
+    ANSWERING
+        The rest of the answer.
+    BETWEEN_SERVERS
+        Another backend server, as one has lost it.
+    DELIVERING
+        Its caller, as the whole answer has arrived.
+    """
 
     UNSENT = "unsent"
     SENT = "sent"
@@ -19,9 +33,6 @@
 
     Attributes
     ----------
-    phase : CallPhase
-        Not sent yet; sent, without an answer's head; answered in part; lost by one backend server
-        and not sent to the next one; or answered completely, and not taken by its caller yet.
     sends : int
         Times that it has been sent to a backend server or another entry VM.
     last_byte_ms : int or None
--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -227,7 +227,10 @@
         self._list.set_address(cfg.backend_list)
 
     def drain(self) -> None:
-        """Report not ready, then wait until requests have ended or their time is up."""
+        """Report not ready, then wait until requests have ended or their time is up.
+
+        A listener's stop returns once its running calls have ended.
+        """
         cfg = self._cfg.entry
         notice = Duration(cfg.shutdown_notice + NEXT_REQUEST_WAIT)
         stop = self._stop = PlannedStop.begin(self._clock.elapsed_ms(), notice, cfg.stop_within)
@@ -242,6 +245,7 @@
         for stopping in stops:
             stopping.join(self._left(stop.ends_calls_ms) / _MS_PER_S)
         self._end_calls(stop)
+        # Calls that were ended still send their last bytes.
         answered_ms = min(self._clock.elapsed_ms() + END_MARGIN, stop.exits_ms)
         for stopping in stops:
             stopping.join(self._left(answered_ms) / _MS_PER_S)
