Watch the end of a daemon in the soak whatever its descriptor's number

In one process with all other tests the descriptor of the watched daemon is above 1,023, which select() refuses; the play lost its daemons then. Alone the test passes.

The end is now awaited with poll(). The new test opens that many files; it failed before with the same ValueError.

--- a/packages/testing/src/nutmegdrum_testing/soak/stops.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/stops.py
@@ -286,9 +286,12 @@
         # Popen's wait with a time-out polls, and would tell the end late. A young process ends at
         # once, and must not be looked for later.
         ended = os.pidfd_open(daemon.process.pid)
+        # `select` takes no descriptors above 1,023.
+        poll = select.poll()
+        poll.register(ended, select.POLLIN)
 
         def ends_within(seconds: float) -> bool:
-            return bool(select.select([ended], [], [], seconds)[0])
+            return bool(poll.poll(seconds * 1_000))
 
         try:
             daemon.process.terminate()
--- a/packages/testing/tests/test_soak.py
+++ b/packages/testing/tests/test_soak.py
@@ -1,8 +1,13 @@
+import contextlib
 import math
+import os
 import random
+import sys
+import time
 from types import SimpleNamespace
 
 import pytest
+from nutmegdrum_testing.processes import Processes
 from nutmegdrum_testing.soak.__main__ import play
 from nutmegdrum_testing.soak.callers import Sent
 from nutmegdrum_testing.soak.disturbances import SERVERS, Disturbances, entry_target
@@ -123,6 +128,7 @@
         assert World(arrivals=arrivals).problems() == []
 
 
+SELECT_LIMIT = 1_024
 WITHIN_S = 8.0
 STOPPED_S = BEGAN_S + 10.0
 
@@ -240,6 +246,14 @@
         stops._check_end(SimpleNamespace(name="127.0.0.13"), 8.1, is_other=True)
         assert stops.problems(None) == ["127.0.0.11 ended 8.10 s after SIGTERM at 1000.500"]
 
+    def test_an_end_is_seen_with_many_open_files(self):
+        with contextlib.ExitStack() as files, Processes() as processes:
+            while files.enter_context(open(os.devnull)).fileno() <= SELECT_LIMIT:
+                pass
+            process = processes.start([sys.executable, "-c", "input()"])
+            daemon = SimpleNamespace(process=process)
+            assert self.stops()._terminate(daemon) <= time.monotonic()
+
     def test_an_exception_in_a_thread_of_the_play_is_told(self):
         stops = self.stops()
         stops._guard(stops._stop_series, 5, random.Random(1))
