--- a/packages/kernel/src/nutmegdrum/shutdown_gate.py
+++ b/packages/kernel/src/nutmegdrum/shutdown_gate.py
@@ -9,6 +9,7 @@
 from nutmegdrum_coord.verdict import SHUTTING_DOWN, Refusal, Verdict
 
 from nutmegdrum import metrics
+from nutmegdrum.completion_handler import GENERATION_HEADER
 from nutmegdrum.logs import log_change
 from nutmegdrum.problems import problem_headers, problem_of
 from nutmegdrum.shutdown import Phase, Shutdown
@@ -17,8 +18,6 @@
 RETRY_AFTER_MS = 1_000
 """Backoff hint of refusals during a shutdown, in ms."""
 
-GENERATION_HEADER = "nutmegdrum-generation"
-
 CALL = "nutmegdrum.call"
 """Key of the admitted request in the environment."""
 
@@ -66,7 +65,7 @@
     def start_answer(self, headers: list[tuple[str, str]]) -> None:
         """Note the id of the generation that the answer is about."""
         for name, text in headers:
-            if name.lower() == GENERATION_HEADER:
+            if name.lower() == GENERATION_HEADER.lower():
                 self._generation = text
 
     def log(self, outcome: str, phase: Phase) -> None:
