Refuse answers that a reset during the upload may have cut

Callers got a part of an answer as a whole one: a backend server answered a large request at once with a 200 without length, sent some of the body and reset the connection while the relay was still sending.

Cause: Exchange.send passes over a broken or reset connection, as an early answer may be there to read. The system reports a reset once, to the sender; the reader then finds the end of the connection, which ends a body without length.

A send that failed is now remembered, and a body that only the end of the connection ends is then lost. Bodies with a length or in chunks tell by themselves whether they are whole, and are still passed on; their connection isn't kept.

--- /dev/null
+++ b/packages/kernel/tests/test_broken_answers.py
@@ -0,0 +1,73 @@
+"""Plain services and other entry VMs whose answers break off or aren't HTTP responses."""
+
+import pytest
+from nutmegdrum.messages import BackendLost, LossKind
+from nutmegdrum.open_exchanges import OpenExchanges
+from nutmegdrum.peer_directory import PeerAddress
+from nutmegdrum.peer_exchange import CallerRequest, PeerExchange
+from nutmegdrum.plain_http import HttpPlainSender, PlainCall
+from nutmegdrum.settings import BackendSettings
+from nutmegdrum.units import Duration
+from nutmegdrum_coord.clock import SystemClock
+from nutmegdrum_coord.ids import VmId
+from nutmegdrum_coord.verdict import Refusal, Verdict
+from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
+
+TIMEOUT_MS = 5_000
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nhal"
+
+
+@pytest.fixture
+def serve():
+    running = []
+
+    def start(answer, ending=Ending.CLOSE):
+        running.append(RawServer(answer, ending))
+        return running[-1]
+
+    yield start
+    for server in running:
+        server.stop()
+
+
+def call_service(server, body=b"x"):
+    """Return status and body of a plain service's answer."""
+    backend = BackendSettings(id="b", address=server.address, service="s", data_centre="dc")
+    call = PlainCall("POST", "/book", {}, body, 1)
+    reply = HttpPlainSender(SystemClock()).send(backend, call, lambda: True, TIMEOUT_MS, TIMEOUT_MS)
+    return reply.status, reply.body
+
+
+def call_peer(server, body=b"x"):
+    """Return status and body of another entry VM's answer."""
+    exchange = PeerExchange(VmId("n1"), SystemClock(), Duration(TIMEOUT_MS), OpenExchanges())
+    req = CallerRequest("POST", "/book", {}, body, 0)
+    answer = exchange.send(PeerAddress(VmId("n2"), server.address), req)
+    return answer.status, answer.read()
+
+
+class TestPlainService:
+    def test_a_reset_during_an_upload_is_a_loss(self, serve):
+        with pytest.raises(BackendLost) as raised:
+            call_service(serve(UNFRAMED, Ending.RESET_DURING_UPLOAD), LARGE_UPLOAD)
+        assert (raised.value.kind, raised.value.sent) == (LossKind.RESET, True)
+
+    def test_a_reset_after_the_upload_is_a_loss(self, serve):
+        with pytest.raises(BackendLost):
+            call_service(serve(UNFRAMED, Ending.RESET))
+
+    def test_an_answer_that_ends_with_its_connection_is_whole(self, serve):
+        assert call_service(serve(UNFRAMED)) == (200, b"hal")
+
+
+class TestOtherEntryVm:
+    @pytest.mark.parametrize(
+        "ending, body", [(Ending.RESET_DURING_UPLOAD, LARGE_UPLOAD), (Ending.RESET, b"x")]
+    )
+    def test_a_reset_loses_the_answer(self, serve, ending, body):
+        with pytest.raises(Refusal) as raised:
+            call_peer(serve(UNFRAMED, ending), body)
+        assert raised.value.verdict is Verdict.MAY_HAVE_RUN
+
+    def test_an_answer_that_ends_with_its_connection_is_whole(self, serve):
+        assert call_peer(serve(UNFRAMED)) == (200, b"hal")
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -100,6 +100,7 @@
         self._sock = conn.sock
         self._resp: HTTPResponse | None = None
         self.aborted: AbortReason | None = None
+        self._send_failed = False
         self._lock = threading.Lock()
         self._ended = False
 
@@ -117,8 +118,9 @@
                 decode_content=False,
             )
         except (BrokenPipeError, ConnectionResetError):
-            # The answer may have arrived already; if not, `receive` fails.
-            pass
+            # The answer may have arrived already; if not, `receive` fails. The system reports a
+            # reset only once, so that a later read finds an ordinary end of the connection.
+            self._send_failed = True
         except (HTTPException, HTTPError, OSError, UnicodeError) as exc:
             raise ConnectionLost(str(exc)) from exc
 
@@ -182,9 +184,15 @@
             raise TimeoutError(str(exc)) from exc
         except (HTTPException, HTTPError, OSError, ValueError, AttributeError) as exc:
             raise ConnectionLost(str(exc)) from exc
-        if self.aborted and not self._is_framed():
-            # Only the end of the connection, which may be the abort's, has ended the body.
+        if not self._is_framed():
+            self._check_end_of_connection()
+
+    def _check_end_of_connection(self) -> None:
+        """Check that the backend server ended the body by closing the connection in order."""
+        if self.aborted:
             raise ConnectionLost(f"the exchange was aborted: {self.aborted.value}")
+        if self._send_failed:
+            raise ConnectionLost("the connection was reset while the request was sent")
 
     def extend(self, timeout: Duration) -> None:
         """Restart the time-out and the size limit, after an event is complete."""
@@ -248,7 +256,7 @@
     def is_reusable(self) -> bool:
         """Return whether the answer was read to its end and the connection stays open."""
         resp = self._resp
-        if resp is None or self.aborted or self._conn.sock is None:
+        if resp is None or self.aborted or self._send_failed or self._conn.sock is None:
             return False
         if resp.headers.get("connection", "").lower() == "close":
             return False
