Refuse answers with a malformed header field

Callers got answers of a backend server in trouble in which the name of a field held a blank or a control byte: with that line passed on, or, where it stood before Content-Length, with a body that ran to the end of the connection.

Cause: http.client hands the lines of a head to a parser of e-mail messages. It stops at the first line that isn't a field of an e-mail message and drops this line and all after it without an error, and takes names and values that HTTP doesn't allow.

StrictResponse, which replaces WholeHeadResponse, checks each line of the head against the grammar of RFC 9110 before http.client parses it, and raises MalformedResponse, an HTTPException, which all readers take for a lost answer: it is sent again where that is allowed, else refused as perhaps run, also if its head says that it has not run. Folded lines are refused (RFC 9112 lets gateways do so); lines without carriage returns and bytes beyond ASCII in values pass.

--- a/packages/kernel/src/nutmegdrum/bounded_http.py
+++ b/packages/kernel/src/nutmegdrum/bounded_http.py
@@ -7,13 +7,12 @@
 import io
 import socket
 from collections.abc import Callable
-from http.client import HTTPResponse as PlainResponse
-from http.client import IncompleteRead
 
 from nutmegdrum_coord.clock import Clock
 from urllib3.connection import HTTPConnection
 from urllib3.util.wait import wait_for_read
 
+from nutmegdrum.strict_response import StrictResponse
 from nutmegdrum.units import Duration
 
 MAX_HEAD = 64 << 10
@@ -102,42 +101,7 @@
         super().close()
 
 
-class _HeadReader:
-    """Line reader that records whether the blank line after the head was read."""
-
-    def __init__(self, file):
-        self.file = file
-        self.ended = False
-
-    def readline(self, limit: int = -1) -> bytes:
-        line = self.file.readline(limit)
-        self.ended = line in (b"\r\n", b"\n")
-        return line
-
-    def close(self) -> None:
-        self.file.close()
-
-
-class WholeHeadResponse(PlainResponse):
-    """Response whose head must be complete.
-
-    `http.client` would accept a head that is cut off by the end of the connection.
-    """
-
-    def begin(self) -> None:
-        """Read the status line and headers."""
-        reader = _HeadReader(self.fp)
-        self.fp = reader
-        try:
-            super().begin()
-        finally:
-            if self.fp is reader:
-                self.fp = reader.file
-        if not reader.ended:
-            raise IncompleteRead(b"")
-
-
-class BoundedResponse(WholeHeadResponse):
+class BoundedResponse(StrictResponse):
     """Response of bounded size and time."""
 
     def __init__(self, bounds: Bounds, sock: socket.socket, *args, **kwargs):
--- /dev/null
+++ b/packages/kernel/src/nutmegdrum/strict_response.py
@@ -0,0 +1,78 @@
+"""Responses that are accepted only in the form that HTTP/1.1 allows.
+
+`http.client` hands a head to a parser of e-mail messages, which drops a line that isn't a field and
+all lines after it, the body's length among them.
+"""
+
+import re
+from http.client import HTTPException, HTTPResponse, IncompleteRead
+
+_FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)\r?\n")
+"""Name and value of a field (RFC 9110, sections 5.1 and 5.5), on a line of its own. A line break
+without a carriage return may be accepted (RFC 9112, section 2.2); folded lines may be rejected
+(section 5.2)."""
+
+_BLANK_LINES = (b"\r\n", b"\n")
+_MAX_SHOWN = 64
+
+
+class MalformedResponse(HTTPException):
+    """Data that isn't a valid HTTP/1.1 response."""
+
+    def __init__(self, what: str, data: bytes):
+        super().__init__(f"{what}: {data[:_MAX_SHOWN]!r}")
+
+
+class _HeadReader:
+    """Line reader that rejects invalid lines, and tells whether the head was read to its end.
+
+    Lines are passed on without the optional white space around a value, which the e-mail parser
+    would keep.
+    """
+
+    def __init__(self, file):
+        self.file = file
+        self.ended = False
+        self._in_fields = False
+
+    def readline(self, limit: int = -1) -> bytes:
+        line = self.file.readline(limit)
+        if not line.endswith(b"\n"):
+            # The line is cut off or too long, for which `http.client` has errors of its own.
+            return line
+        self.ended = self._in_fields and line in _BLANK_LINES
+        if not self._in_fields:
+            self._in_fields = True
+            return line
+        self._in_fields = not self.ended
+        return line if self.ended else _checked_field(line)
+
+    def close(self) -> None:
+        self.file.close()
+
+
+class StrictResponse(HTTPResponse):
+    """Response that raises `MalformedResponse` where `http.client` would guess or ignore.
+
+    A head that is cut off by the end of the connection raises `IncompleteRead`.
+    """
+
+    def begin(self) -> None:
+        """Read the status line and headers."""
+        reader = _HeadReader(self.fp)
+        self.fp = reader
+        try:
+            super().begin()
+        finally:
+            if self.fp is reader:
+                self.fp = reader.file
+        if not reader.ended:
+            raise IncompleteRead(b"")
+
+
+def _checked_field(line: bytes) -> bytes:
+    match = _FIELD_LINE.fullmatch(line)
+    if match is None:
+        raise MalformedResponse("invalid header field", line)
+    name, value = match.groups()
+    return b"%s: %s\r\n" % (name, value.strip(b" \t"))
--- a/packages/kernel/tests/test_broken_answers.py
+++ b/packages/kernel/tests/test_broken_answers.py
@@ -11,6 +11,7 @@
 from nutmegdrum_coord.clock import SystemClock
 from nutmegdrum_coord.ids import VmId
 from nutmegdrum_coord.verdict import Refusal, Verdict
+from nutmegdrum_testing.raw_answers import BROKEN_ANSWERS, SOUND_ANSWERS
 from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
 
 TIMEOUT_MS = 5_000
@@ -59,6 +60,16 @@
     def test_an_answer_that_ends_with_its_connection_is_whole(self, serve):
         assert call_service(serve(UNFRAMED)) == (200, b"hal")
 
+    @pytest.mark.parametrize("name", BROKEN_ANSWERS)
+    def test_a_broken_answer_is_a_loss(self, serve, name):
+        with pytest.raises(BackendLost) as raised:
+            call_service(serve(BROKEN_ANSWERS[name]))
+        assert (raised.value.kind, raised.value.sent) == (LossKind.RESET, True)
+
+    @pytest.mark.parametrize("name", SOUND_ANSWERS)
+    def test_a_sound_answer_is_read(self, serve, name):
+        assert call_service(serve(SOUND_ANSWERS[name])) == (200, b"ok")
+
 
 class TestOtherEntryVm:
     @pytest.mark.parametrize(
--- a/packages/plugins/src/nutmegdrum_plugins/http_engine.py
+++ b/packages/plugins/src/nutmegdrum_plugins/http_engine.py
@@ -18,7 +18,7 @@
 
 import msgspec
 from nutmegdrum.backends import TokenSource
-from nutmegdrum.bounded_http import MAX_HEAD, WholeHeadResponse
+from nutmegdrum.bounded_http import MAX_HEAD
 from nutmegdrum.messages import (
     BackendLost,
     CacheEvent,
@@ -34,6 +34,7 @@
 from nutmegdrum.plain_http import AnswerListener
 from nutmegdrum.plugins import Event, Kind, Plugin, Registry
 from nutmegdrum.settings import BackendSettings
+from nutmegdrum.strict_response import StrictResponse
 from nutmegdrum.units import Address
 from nutmegdrum_coord.ids import BackendId, GenerationId
 from urllib3.connection import HTTPConnection
@@ -142,7 +143,7 @@
         super().close()
 
 
-class _Response(WholeHeadResponse):
+class _Response(StrictResponse):
     """Response that reports whether more of its body is buffered."""
 
     def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any):
--- a/packages/relay/tests/test_broken_answers.py
+++ b/packages/relay/tests/test_broken_answers.py
@@ -1,11 +1,14 @@
 """Backend servers whose answers break off or aren't HTTP responses."""
 
+import threading
+
 import pytest
 from nutmegdrum.units import Duration
 from nutmegdrum_coord.clock import SystemClock
 from nutmegdrum_relay.upstream import ConnectionLost, UpstreamPool
+from nutmegdrum_testing.raw_answers import BROKEN_ANSWERS, SOUND_ANSWERS, with_field
 from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
-from nutmegdrum_testing.relay_calls import get
+from nutmegdrum_testing.relay_calls import answers, get, numbers
 from nutmegdrum_testing.relay_world import RelayWorld, document, listed
 
 ANSWER_TIMEOUT = Duration(5_000)
@@ -84,3 +87,71 @@
     def test_an_answer_that_ends_with_its_connection_is_whole(self, serve):
         _, status, body = exchange(serve(UNFRAMED), b"small")
         assert (status, body) == (200, b"hal")
+
+
+class TestExchange:
+    @pytest.mark.parametrize("name", BROKEN_ANSWERS)
+    def test_a_broken_answer_is_lost(self, serve, name):
+        with pytest.raises(ConnectionLost):
+            exchange(serve(BROKEN_ANSWERS[name]))
+
+    @pytest.mark.parametrize("name", SOUND_ANSWERS)
+    def test_a_sound_answer_is_read(self, serve, name):
+        _, status, body = exchange(serve(SOUND_ANSWERS[name]))
+        assert (status, body) == (200, b"ok")
+
+
+class TestRelay:
+    """A backend server sends a broken answer to its first request, and sound ones after it."""
+
+    NOT_RUN = with_field(b"X-Not-Run: 1\r\nX Odd: v", False).replace(b"200 OK", b"503 Full")
+    BROKEN = {
+        "blank, first": with_field(b"X Odd: v", True),
+        "blank, last": with_field(b"X Odd: v", False),
+        "says that it has not run": NOT_RUN,
+    }
+
+    @staticmethod
+    def add_backends(world, broken, sound):
+        sent = threading.Event()
+
+        def script(received):
+            if sent.is_set():
+                sound(received)
+            else:
+                sent.set()
+                received.send_raw(broken)
+
+        return world.add(script, script)
+
+    @pytest.mark.parametrize("name", BROKEN)
+    def test_an_idempotent_request_is_sent_again(self, world, name):
+        self.add_backends(world, self.BROKEN[name], answers(200, b"whole"))
+        status, headers, body = get(world, "/idempotent/x")
+        assert (status, body) == (200, b"whole")
+        assert not any("odd" in header.lower() for header in headers)
+
+    @pytest.mark.parametrize("name", BROKEN)
+    def test_another_request_is_refused_as_perhaps_run(self, world, name):
+        backends = self.add_backends(world, self.BROKEN[name], answers(200, b"whole"))
+        status, _, body = get(world, "/non-idempotent/x", "POST")
+        assert (status, b"ok" in body) == (502, False)
+        assert sum(len(backend.received) for backend in backends) == 1
+
+    @pytest.mark.parametrize("name", BROKEN)
+    def test_a_stream_without_events_is_sent_again(self, world, name):
+        def send_stream(received):
+            received.start_events(X_Id="q1")
+            received.event(1)
+            received.end_events()
+
+        self.add_backends(world, self.BROKEN[name], send_stream)
+        status, _, body = get(world, "/stream/x", "POST")
+        assert (status, numbers(body)) == (200, [1])
+
+    def test_values_are_passed_on_unchanged(self, world):
+        value = bytes(range(0xA1, 0x100)) + b"\t:"
+        world.add(lambda r: r.send_raw(with_field(b"X-Odd: \t" + value + b"x \t", True)))
+        status, headers, body = get(world, "/idempotent/x")
+        assert (status, body) == (200, b"ok")
+        assert headers["X-Odd"].encode("latin-1") == value + b"x"
