Refuse answers with a malformed status line

Callers got answers whose status line no HTTP/1.1 server sends: a status above 599, one written 0200, +200 or 2_00, versions such as HTTP/1.1.1 and HTTP/0.9, control bytes in the reason, tabs and several blanks.

Cause: http.client splits the line at any white space and reads the status with int(), which takes signs, underscores and any number from 100 to 999.

StrictResponse checks the line against the grammar of RFC 9112 first. The reason may be missing, with its blank too, and may hold bytes beyond ASCII.

Status 000 and 099 were refused already; the tests stay.

--- a/packages/kernel/src/nutmegdrum/strict_response.py
+++ b/packages/kernel/src/nutmegdrum/strict_response.py
@@ -7,6 +7,10 @@
 import re
 from http.client import HTTPException, HTTPResponse, IncompleteRead
 
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}( [\t\x20-\x7e\x80-\xff]*)?\r?\n")
+"""Version, status and reason (RFC 9112, section 4). Many servers omit the blank before an empty
+reason."""
+
 _FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)\r?\n")
 """Name and value of a field (RFC 9110, sections 5.1 and 5.5), on a line of its own. A line break
 without a carriage return may be accepted (RFC 9112, section 2.2); folded lines may be rejected
@@ -43,7 +47,7 @@
         self.ended = self._in_fields and line in _BLANK_LINES
         if not self._in_fields:
             self._in_fields = True
-            return line
+            return _checked_status(line)
         self._in_fields = not self.ended
         return line if self.ended else _checked_field(line)
 
@@ -70,6 +74,12 @@
             raise IncompleteRead(b"")
 
 
+def _checked_status(line: bytes) -> bytes:
+    if _STATUS_LINE.fullmatch(line) is None:
+        raise MalformedResponse("invalid status line", line)
+    return line
+
+
 def _checked_field(line: bytes) -> bytes:
     match = _FIELD_LINE.fullmatch(line)
     if match is None:
--- a/packages/testing/src/nutmegdrum_testing/raw_answers.py
+++ b/packages/testing/src/nutmegdrum_testing/raw_answers.py
@@ -33,6 +33,46 @@
     "DEL in the value": b"X-Odd: a\x7f",
 }
 
+MALFORMED_STATUS_LINES = {
+    "status 000": b"HTTP/1.1 000 OK",
+    "status 099": b"HTTP/1.1 099 OK",
+    "status 600": b"HTTP/1.1 600 OK",
+    "status 999": b"HTTP/1.1 999 OK",
+    "two digits": b"HTTP/1.1 20 OK",
+    "four digits": b"HTTP/1.1 2000 OK",
+    "leading zero": b"HTTP/1.1 0200 OK",
+    "signed status": b"HTTP/1.1 +200 OK",
+    "separator in the status": b"HTTP/1.1 2_00 OK",
+    "no number": b"HTTP/1.1 OK",
+    "no status": b"HTTP/1.1",
+    "reason without blank": b"HTTP/1.1 200OK",
+    "no version": b"200 OK",
+    "HTTP/0.9": b"HTTP/0.9 200 OK",
+    "HTTP/2.0": b"HTTP/2.0 200 OK",
+    "version without minor": b"HTTP/1 200 OK",
+    "version in three parts": b"HTTP/1.1.1 200 OK",
+    "version of two digits": b"HTTP/1.11 200 OK",
+    "letter in the version": b"HTTP/1.x 200 OK",
+    "lower case": b"http/1.1 200 OK",
+    "other protocol": b"ICY 200 OK",
+    "two blanks": b"HTTP/1.1  200 OK",
+    "tab": b"HTTP/1.1\t200 OK",
+    "blank first": b" HTTP/1.1 200 OK",
+    "blank line first": b"\r\nHTTP/1.1 200 OK",
+    "NUL in the reason": b"HTTP/1.1 200 O\0K",
+    "control byte in the reason": b"HTTP/1.1 200 O\x0bK",
+    "carriage return in the reason": b"HTTP/1.1 200 O\rK",
+    "DEL in the reason": b"HTTP/1.1 200 O\x7fK",
+}
+
+UNUSUAL_STATUS_LINES = {
+    "no reason": b"HTTP/1.1 200 ",
+    "neither reason nor blank": b"HTTP/1.1 200",
+    "reason beyond ASCII": b"HTTP/1.1 200 \x85 \xe4\t!",
+    "HTTP/1.0": b"HTTP/1.0 200 OK",
+    "later minor version": b"HTTP/1.2 200 OK",
+}
+
 UNUSUAL_FIELDS = {
     "every character of a name": b"!#$%&'*+-.^_`|~09azAZ: v",
     "bytes beyond ASCII in the value": b"X-Odd: " + bytes(range(0x80, 0x100)),
@@ -50,14 +90,20 @@
     return HEAD + fields + BODY
 
 
+def with_status_line(line: bytes) -> bytes:
+    """Return an answer with another status line."""
+    return line + b"\r\nX-Id: q1\r\n" + LENGTH + BODY
+
+
 BROKEN_ANSWERS = {
     f"{name}, {'first' if first else 'last'}": with_field(line, first)
     for name, line in MALFORMED_FIELDS.items()
     for first in (True, False)
-}
+} | {name: with_status_line(line) for name, line in MALFORMED_STATUS_LINES.items()}
 
 SOUND_ANSWERS = {
     "plain": HEAD + LENGTH + BODY,
+    **{name: with_status_line(line) for name, line in UNUSUAL_STATUS_LINES.items()},
     **{name: with_field(line, True) for name, line in UNUSUAL_FIELDS.items()},
     "white space around the length": HEAD + b"Content-Length: \t2 \t\r\n" + BODY,
     "only line feeds": (HEAD + LENGTH + BODY).replace(b"\r", b""),
