Refuse answers whose headers don't say where the body ends

Callers got bodies that weren't the backend server's: answers with a length and chunks, with transfer codings other than chunks (undecoded, or the chunks as the body), chunks in HTTP/1.0, a 204 with a body; on the own gateway also answers with a length that is no number or that is given twice.

Cause: http.client reads the first of each of these headers, takes what it can't read for a body that the end of the connection ends, and ignores the length beside chunks; urllib3 looks for "chunked" anywhere in the header. Only the relay's exchange checked the length.

StrictResponse checks both headers together (RFC 9112, section 6): one length of digits, or "chunked" alone in HTTP/1.1, neither with a 204. That replaces the exchange's check. A 204 with length 0 and a 304 with any length pass.

--- a/packages/kernel/src/nutmegdrum/strict_response.py
+++ b/packages/kernel/src/nutmegdrum/strict_response.py
@@ -16,6 +16,9 @@
 without a carriage return may be accepted (RFC 9112, section 2.2); folded lines may be rejected
 (section 5.2)."""
 
+_LENGTH = re.compile(r"[0-9]{1,18}")
+_NO_CONTENT = 204
+_HTTP_11 = 11
 _BLANK_LINES = (b"\r\n", b"\n")
 _MAX_SHOWN = 64
 
@@ -23,8 +26,8 @@
 class MalformedResponse(HTTPException):
     """Data that isn't a valid HTTP/1.1 response."""
 
-    def __init__(self, what: str, data: bytes):
-        super().__init__(f"{what}: {data[:_MAX_SHOWN]!r}")
+    def __init__(self, what: str, data: object):
+        super().__init__(f"{what}: {data!r:.{_MAX_SHOWN}}")
 
 
 class _HeadReader:
@@ -62,7 +65,7 @@
     """
 
     def begin(self) -> None:
-        """Read the status line and headers."""
+        """Read the status line and headers, and check that they tell where the body ends."""
         reader = _HeadReader(self.fp)
         self.fp = reader
         try:
@@ -72,6 +75,21 @@
                 self.fp = reader.file
         if not reader.ended:
             raise IncompleteRead(b"")
+        self._check_lengths()
+
+    def _check_lengths(self) -> None:
+        """Check the headers that define the body's length (RFC 9112, section 6)."""
+        lengths = self.headers.get_all("Content-Length", [])
+        codings = self.headers.get_all("Transfer-Encoding", [])
+        if codings:
+            # No other coding is asked for, and all but "chunked" would reach the caller undecoded.
+            valid = [coding.lower() for coding in codings] == ["chunked"] and not lengths
+            if not valid or self.version < _HTTP_11 or self.status == _NO_CONTENT:
+                raise MalformedResponse("invalid Transfer-Encoding", codings)
+        if lengths:
+            valid = len(lengths) == 1 and _LENGTH.fullmatch(lengths[0])
+            if not valid or (self.status == _NO_CONTENT and int(lengths[0]) > 0):
+                raise MalformedResponse("invalid Content-Length", lengths)
 
 
 def _checked_status(line: bytes) -> bytes:
--- a/packages/kernel/tests/test_broken_answers.py
+++ b/packages/kernel/tests/test_broken_answers.py
@@ -11,7 +11,7 @@
 from nutmegdrum_coord.clock import SystemClock
 from nutmegdrum_coord.ids import VmId
 from nutmegdrum_coord.verdict import Refusal, Verdict
-from nutmegdrum_testing.raw_answers import BROKEN_ANSWERS, SOUND_ANSWERS
+from nutmegdrum_testing.raw_answers import BROKEN_ANSWERS, EMPTY_ANSWERS, SOUND_ANSWERS
 from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
 
 TIMEOUT_MS = 5_000
@@ -70,6 +70,11 @@
     def test_a_sound_answer_is_read(self, serve, name):
         assert call_service(serve(SOUND_ANSWERS[name])) == (200, b"ok")
 
+    @pytest.mark.parametrize("name", EMPTY_ANSWERS)
+    def test_an_answer_without_body_is_whole(self, serve, name):
+        status, answer = EMPTY_ANSWERS[name]
+        assert call_service(serve(answer)) == (status, b"")
+
 
 class TestOtherEntryVm:
     @pytest.mark.parametrize(
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -148,9 +148,6 @@
             raise
         except (HTTPException, HTTPError, OSError, ValueError, AttributeError) as exc:
             raise ConnectionLost(str(exc)) from exc
-        length = self._resp.headers.get("content-length", "0")
-        if parse_count(length) is None:
-            raise ConnectionLost(f"invalid Content-Length {length!r}")
         return AnswerHead(self._resp.status, list(self._resp.headers.items()))
 
     def chunks(self, timeout: Duration, extend: Extend = give_up) -> Iterator[bytes]:
--- a/packages/relay/tests/test_broken_answers.py
+++ b/packages/relay/tests/test_broken_answers.py
@@ -6,7 +6,7 @@
 from nutmegdrum.units import Duration
 from nutmegdrum_coord.clock import SystemClock
 from nutmegdrum_relay.upstream import ConnectionLost, UpstreamPool
-from nutmegdrum_testing.raw_answers import BROKEN_ANSWERS, SOUND_ANSWERS, with_field
+from nutmegdrum_testing.raw_answers import BROKEN_ANSWERS, EMPTY_ANSWERS, SOUND_ANSWERS, with_field
 from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
 from nutmegdrum_testing.relay_calls import answers, get, numbers
 from nutmegdrum_testing.relay_world import RelayWorld, document, listed
@@ -100,6 +100,11 @@
         _, status, body = exchange(serve(SOUND_ANSWERS[name]))
         assert (status, body) == (200, b"ok")
 
+    @pytest.mark.parametrize("name", EMPTY_ANSWERS)
+    def test_an_answer_without_body_is_whole(self, serve, name):
+        status, answer = EMPTY_ANSWERS[name]
+        assert exchange(serve(answer))[1:] == (status, b"")
+
 
 class TestRelay:
     """A backend server sends a broken answer to its first request, and sound ones after it."""
--- a/packages/testing/src/nutmegdrum_testing/raw_answers.py
+++ b/packages/testing/src/nutmegdrum_testing/raw_answers.py
@@ -73,6 +73,46 @@
     "later minor version": b"HTTP/1.2 200 OK",
 }
 
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+CHUNKS = b"\r\n2\r\nok\r\n0\r\n\r\n"
+
+MALFORMED_LENGTHS = {
+    "negative length": HEAD + b"Content-Length: -2\r\n" + BODY,
+    "signed length": HEAD + b"Content-Length: +2\r\n" + BODY,
+    "separator in the length": HEAD + b"Content-Length: 0_2\r\n" + BODY,
+    "hexadecimal length": HEAD + b"Content-Length: 0x2\r\n" + BODY,
+    "length with a fraction": HEAD + b"Content-Length: 2.0\r\n" + BODY,
+    "superscript length": HEAD + b"Content-Length: \xb2\r\n" + BODY,
+    "empty length": HEAD + b"Content-Length:\r\n" + BODY,
+    "huge length": HEAD + b"Content-Length: " + b"2" * 5_000 + b"\r\n" + BODY,
+    "list of lengths": HEAD + b"Content-Length: 2, 3\r\n" + BODY,
+    "two lengths": HEAD + LENGTH + b"Content-Length: 3\r\n" + BODY,
+    "length and chunks": HEAD + LENGTH + CHUNKED + CHUNKS,
+    "chunks and length": HEAD + CHUNKED + LENGTH + CHUNKS,
+    "chunks in HTTP/1.0": HEAD.replace(b"/1.1", b"/1.0") + CHUNKED + CHUNKS,
+    "chunks twice": HEAD + CHUNKED + CHUNKED + CHUNKS,
+    "chunks twice in a list": HEAD + b"Transfer-Encoding: chunked, chunked\r\n" + CHUNKS,
+    "other encoding": HEAD + b"Transfer-Encoding: gzip\r\n" + BODY,
+    "other encoding and chunks": HEAD + b"Transfer-Encoding: gzip, chunked\r\n" + CHUNKS,
+    "two encodings": HEAD + b"Transfer-Encoding: gzip\r\n" + CHUNKED + CHUNKS,
+    "chunks and other encoding": HEAD + b"Transfer-Encoding: chunked, gzip\r\n" + CHUNKS,
+    "identity": HEAD + b"Transfer-Encoding: identity\r\n" + LENGTH + BODY,
+    "identity and no length": HEAD + b"Transfer-Encoding: identity\r\n" + BODY,
+    "empty encoding": HEAD + b"Transfer-Encoding:\r\n" + BODY,
+    "parameter of chunks": HEAD + b"Transfer-Encoding: chunked;a=b\r\n" + CHUNKS,
+    "unknown encoding": HEAD + b"Transfer-Encoding: xchunked\r\n" + CHUNKS,
+    "no content and a length": HEAD.replace(b"200", b"204") + LENGTH + BODY,
+    "no content and chunks": HEAD.replace(b"200", b"204") + CHUNKED + CHUNKS,
+}
+
+UNUSUAL_LENGTHS = {
+    "leading zeros": HEAD + b"Content-Length: 0002\r\n" + BODY,
+    "white space around the length": HEAD + b"Content-Length: \t2 \t\r\n" + BODY,
+    "white space around the encoding": HEAD + b"Transfer-Encoding: \t chunked \t\r\n" + CHUNKS,
+    "upper case": HEAD + b"TRANSFER-ENCODING: CHUNKED\r\n" + CHUNKS,
+    "end of the connection": HEAD + BODY,
+}
+
 UNUSUAL_FIELDS = {
     "every character of a name": b"!#$%&'*+-.^_`|~09azAZ: v",
     "bytes beyond ASCII in the value": b"X-Odd: " + bytes(range(0x80, 0x100)),
@@ -100,11 +140,19 @@
     for name, line in MALFORMED_FIELDS.items()
     for first in (True, False)
 } | {name: with_status_line(line) for name, line in MALFORMED_STATUS_LINES.items()}
+BROKEN_ANSWERS |= MALFORMED_LENGTHS
 
 SOUND_ANSWERS = {
     "plain": HEAD + LENGTH + BODY,
     **{name: with_status_line(line) for name, line in UNUSUAL_STATUS_LINES.items()},
     **{name: with_field(line, True) for name, line in UNUSUAL_FIELDS.items()},
-    "white space around the length": HEAD + b"Content-Length: \t2 \t\r\n" + BODY,
+    **UNUSUAL_LENGTHS,
     "only line feeds": (HEAD + LENGTH + BODY).replace(b"\r", b""),
 }
+
+EMPTY_ANSWERS = {
+    "no content": (204, b"HTTP/1.1 204 No Content\r\n\r\n"),
+    "no content and its length": (204, b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n"),
+    "not modified, with a length": (304, b"HTTP/1.1 304 Not Modified\r\n" + LENGTH + b"\r\n"),
+}
+"""Statuses and sound answers that have no body, whatever their head says of its length."""
