Refuse answers with malformed chunks

Callers got bodies in chunks that were cut or torn as whole ones: without the end of the last chunk or of the trailers, with other bytes where a chunk ends, with sizes such as +2, 0x2 or 0_2, control bytes in extensions or trailers. On the own gateway a negative size was an internal error.

Cause: urllib3 parses the chunks of a response by itself. It takes what int() takes for a size, skips any two bytes after a chunk and takes the end of the connection for the end of the trailers; a negative size raises a ValueError. http.client, which the engine client uses, does the same.

StrictResponse reads what stands between the chunks' data by the grammar of RFC 9112, in the one method that all reads of http.client call, and bodies are read from it instead of from urllib3's response (StrictConnection.response). Lines and trailers are limited as in requests. Extensions and sound trailers are ignored.

--- a/packages/kernel/src/nutmegdrum/bounded_http.py
+++ b/packages/kernel/src/nutmegdrum/bounded_http.py
@@ -3,16 +3,14 @@
 Time-outs of single reads do not bound a response that arrives a few bytes at a time.
 """
 
-import functools
 import io
 import socket
 from collections.abc import Callable
 
 from nutmegdrum_coord.clock import Clock
-from urllib3.connection import HTTPConnection
 from urllib3.util.wait import wait_for_read
 
-from nutmegdrum.strict_response import StrictResponse
+from nutmegdrum.strict_response import StrictConnection, StrictResponse
 from nutmegdrum.units import Duration
 
 MAX_HEAD = 64 << 10
@@ -104,16 +102,19 @@
 class BoundedResponse(StrictResponse):
     """Response of bounded size and time."""
 
-    def __init__(self, bounds: Bounds, sock: socket.socket, *args, **kwargs):
-        super().__init__(sock, *args, **kwargs)
+    def __init__(self, bounds: Bounds, sock: socket.socket, **options):
+        super().__init__(sock, **options)
         self.fp.close()
         self.fp = io.BufferedReader(_BoundedFile(sock, bounds))
 
 
-class BoundedConnection(HTTPConnection):
+class BoundedConnection(StrictConnection):
     """Connection whose responses have `bounds`, which must be renewed before each part is read."""
 
     def __init__(self, host: str, port: int, clock: Clock, **options):
         super().__init__(host, port, **options)
         self.bounds = Bounds(clock)
-        self.response_class = functools.partial(BoundedResponse, self.bounds)
+
+    def make_response(self, sock: socket.socket, **options) -> BoundedResponse:
+        """Return the response that is about to be read."""
+        return BoundedResponse(self.bounds, sock, **options)
--- a/packages/kernel/src/nutmegdrum/plain_http.py
+++ b/packages/kernel/src/nutmegdrum/plain_http.py
@@ -21,9 +21,6 @@
 MAX_REPLY_BYTES = 16 << 20
 """Largest body of a reply, in bytes."""
 
-READ_BYTES = 64 << 10
-"""Size of one read of a body, in bytes."""
-
 AnswerListener = Callable[[BackendId, int, Mapping[str, str]], None]
 """Listener that is called with a backend server, and status and headers of its answer."""
 
@@ -181,7 +178,7 @@
             response = conn.getresponse()
             self._on_answer(backend, response.status, response.headers)
             conn.bounds.renew(conn.bounds.time_left(), MAX_REPLY_BYTES)
-            body = b"".join(response.stream(READ_BYTES, decode_content=False))
+            body = b"".join(conn.response.parts())
         except (TimeoutError, HttpTimeoutError) as exc:
             raise BackendLost(backend, LossKind.SILENT, True, str(exc)) from exc
         except (OSError, HTTPError, HTTPException) as exc:
--- a/packages/kernel/src/nutmegdrum/platform.py
+++ b/packages/kernel/src/nutmegdrum/platform.py
@@ -21,7 +21,6 @@
 MAX_DOCUMENT = 32 << 20
 """Largest document in bytes; a list of 100,000 VMs."""
 
-_READ_BYTES = 64 << 10
 _OK = 200
 _MS_PER_S = 1_000
 
@@ -67,7 +66,7 @@
             if response.status != _OK:
                 return None
             conn.bounds.renew(TIMEOUT, MAX_DOCUMENT)
-            return b"".join(response.stream(_READ_BYTES, decode_content=False))
+            return b"".join(conn.response.parts())
         finally:
             conn.close()
 
--- a/packages/kernel/src/nutmegdrum/strict_response.py
+++ b/packages/kernel/src/nutmegdrum/strict_response.py
@@ -1,12 +1,19 @@
 """Responses that are accepted only in the form that HTTP/1.1 allows.
 
 `http.client` hands a head to a parser of e-mail messages, which drops a line that isn't a field and
-all lines after it, the body's length among them.
+all lines after it, the body's length among them. Its reader of chunks takes whatever `int` takes
+for a size, and any two bytes for the end of a chunk.
 """
 
 import re
+import socket
+from collections.abc import Iterator
 from http.client import HTTPException, HTTPResponse, IncompleteRead
 
+from urllib3.connection import HTTPConnection
+
+from nutmegdrum.chunked_bodies import MAX_LINE, MAX_TRAILERS
+
 _STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}( [\t\x20-\x7e\x80-\xff]*)?\r?\n")
 """Version, status and reason (RFC 9112, section 4). Many servers omit the blank before an empty
 reason."""
@@ -16,11 +23,18 @@
 without a carriage return may be accepted (RFC 9112, section 2.2); folded lines may be rejected
 (section 5.2)."""
 
+_CHUNK_LINE = re.compile(
+    rb"([0-9A-Fa-f]{1,16})([ \t]*;[\t\x20-\x7e\x80-\xff]*)?\r\n",
+)
+"""Size of a chunk and its extensions, which are ignored (RFC 9112, section 7.1)."""
+
 _LENGTH = re.compile(r"[0-9]{1,18}")
 _NO_CONTENT = 204
 _HTTP_11 = 11
+_LINE_BREAK = b"\r\n"
 _BLANK_LINES = (b"\r\n", b"\n")
 _MAX_SHOWN = 64
+_READ_BYTES = 64 << 10
 
 
 class MalformedResponse(HTTPException):
@@ -91,6 +105,81 @@
             if not valid or (self.status == _NO_CONTENT and int(lengths[0]) > 0):
                 raise MalformedResponse("invalid Content-Length", lengths)
 
+    def parts(self) -> Iterator[bytes]:
+        """Yield the body as it arrives, in parts of 64 KiB at most, and close the response.
+
+        Raises
+        ------
+        HTTPException, OSError
+            If the body is malformed, or the connection ends before it.
+        """
+        try:
+            while data := self.read1(_READ_BYTES):
+                yield data
+            if self.length:
+                raise IncompleteRead(b"", self.length)
+        except Exception:
+            self.close()
+            raise
+        self.close()
+
+    def _get_chunk_left(self) -> int | None:
+        """Return the bytes left of a chunk, the next one if needed; None at the body's end.
+
+        All reading methods of `http.client` call it for what stands between the chunks' data.
+        """
+        if self.chunk_left:
+            return self.chunk_left
+        if self.chunk_left == 0:
+            self._read_chunk_end()
+        self.chunk_left = self._read_chunk_size() or None
+        if self.chunk_left is None:
+            self._skip_trailers()
+            self._close_conn()
+        return self.chunk_left
+
+    def _read_chunk_end(self) -> None:
+        end = self.fp.read(len(_LINE_BREAK))
+        if end != _LINE_BREAK:
+            raise MalformedResponse("invalid end of a chunk", end)
+
+    def _read_chunk_size(self) -> int:
+        line = self.fp.readline(MAX_LINE)
+        match = _CHUNK_LINE.fullmatch(line)
+        if match is None:
+            raise MalformedResponse("invalid size of a chunk", line)
+        return int(match[1], 16)
+
+    def _skip_trailers(self) -> None:
+        left = MAX_TRAILERS
+        while (line := self.fp.readline(left)) not in _BLANK_LINES:
+            _checked_field(line)
+            left -= len(line)
+
+
+class StrictConnection(HTTPConnection):
+    """Connection whose responses are read strictly.
+
+    Attributes
+    ----------
+    response : StrictResponse or None
+        The last response. Its body is read from here, as urllib3's response parses chunks by
+        itself.
+    """
+
+    def __init__(self, host: str, port: int, **options):
+        super().__init__(host, port, **options)
+        self.response: StrictResponse | None = None
+        self.response_class = self._begin_response
+
+    def make_response(self, sock: socket.socket, **options) -> StrictResponse:
+        """Return the response that is about to be read."""
+        return StrictResponse(sock, **options)
+
+    def _begin_response(self, sock: socket.socket, **options) -> StrictResponse:
+        self.response = self.make_response(sock, **options)
+        return self.response
+
 
 def _checked_status(line: bytes) -> bytes:
     if _STATUS_LINE.fullmatch(line) is None:
--- a/packages/relay/src/nutmegdrum_relay/upstream.py
+++ b/packages/relay/src/nutmegdrum_relay/upstream.py
@@ -16,7 +16,7 @@
 from nutmegdrum_coord.ids import BackendId
 from prometheus_client import Counter
 from urllib3 import HTTPResponse
-from urllib3.exceptions import HTTPError, ReadTimeoutError
+from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
 from nutmegdrum_relay.dialect import Headers
@@ -42,8 +42,6 @@
 """Interval of the check for expired connections; the shortest idle time-out that a backend server
 can announce, which is in whole seconds."""
 
-READ_BYTES = 64 << 10
-
 MAX_BUFFERED = 8 << 20
 """Bytes of a body that are buffered at most, for a plain answer or one event; twice the callers'
 default limit for a body (`CallerLimits.max_body`)."""
@@ -165,21 +163,14 @@
         TimeoutError, ConnectionLost
             If the body was not complete in time, was truncated, or exceeds `MAX_BUFFERED`.
         """
-        assert self._resp is not None
+        assert self._conn.response is not None
         self._conn.bounds.extend = extend
         self.extend(timeout)
         try:
-            if self._resp.chunked:
-                # Without an amount urllib3 allocates as much as the chunk's length announces.
-                yield from self._resp.read_chunked(READ_BYTES, decode_content=False)
-            else:
-                while data := self._resp.read1(READ_BYTES, decode_content=False):
-                    yield data
+            yield from self._conn.response.parts()
         except TimeoutError:
             raise
-        except ReadTimeoutError as exc:
-            raise TimeoutError(str(exc)) from exc
-        except (HTTPException, HTTPError, OSError, ValueError, AttributeError) as exc:
+        except (HTTPException, OSError, ValueError, AttributeError) as exc:
             raise ConnectionLost(str(exc)) from exc
         if not self._is_framed():
             self._check_end_of_connection()
@@ -261,8 +252,8 @@
 
     def _is_framed(self) -> bool:
         """Return whether a body that has been read to its end is known to be whole."""
-        resp = self._resp
-        return resp is not None and (resp.chunked or resp.length_remaining == 0)
+        resp = self._conn.response
+        return resp is not None and (resp.chunked or resp.length == 0)
 
     def idle_time(self) -> Duration:
         """Return the idle time-out of the connection, from the answer's `Keep-Alive` header."""
--- a/packages/testing/src/nutmegdrum_testing/raw_answers.py
+++ b/packages/testing/src/nutmegdrum_testing/raw_answers.py
@@ -113,6 +113,41 @@
     "end of the connection": HEAD + BODY,
 }
 
+MALFORMED_CHUNKS = {
+    "negative size": b"-2\r\nok\r\n0\r\n\r\n",
+    "signed size": b"+2\r\nok\r\n0\r\n\r\n",
+    "prefix of the size": b"0x2\r\nok\r\n0\r\n\r\n",
+    "separator in the size": b"0_2\r\nok\r\n0\r\n\r\n",
+    "blank before the size": b" 2\r\nok\r\n0\r\n\r\n",
+    "blank after the size": b"2 \r\nok\r\n0\r\n\r\n",
+    "NUL after the size": b"2\0\r\nok\r\n0\r\n\r\n",
+    "no size": b"\r\nok\r\n0\r\n\r\n",
+    "no hexadecimal size": b"z\r\nok\r\n0\r\n\r\n",
+    "huge size": b"2" * 5_000 + b"\r\nok\r\n0\r\n\r\n",
+    "size without carriage return": b"2\nok\r\n0\r\n\r\n",
+    "control byte in an extension": b"2;a=\x01\r\nok\r\n0\r\n\r\n",
+    "carriage return in an extension": b"2;a\rb\r\nok\r\n0\r\n\r\n",
+    "chunk longer than its size": b"1\r\nok\r\n0\r\n\r\n",
+    "chunk shorter than its size": b"4\r\nok\r\n0\r\n\r\n",
+    "other bytes after a chunk": b"2\r\nokxx0\r\n\r\n",
+    "line feeds after a chunk": b"2\r\nok\n\n0\r\n\r\n",
+    "no last chunk": b"2\r\nok\r\n",
+    "last chunk cut off": b"2\r\nok\r\n0",
+    "no end of the trailers": b"2\r\nok\r\n0\r\n",
+    "trailer cut off": b"2\r\nok\r\n0\r\nX-Odd: v",
+    "no end after a trailer": b"2\r\nok\r\n0\r\nX-Odd: v\r\n",
+    "blank in a trailer's name": b"2\r\nok\r\n0\r\nX Odd: v\r\n\r\n",
+    "control byte in a trailer": b"2\r\nok\r\n0\r\nX-Odd: a\x01b\r\n\r\n",
+    "trailer without colon": b"2\r\nok\r\n0\r\nodd\r\n\r\n",
+}
+
+UNUSUAL_CHUNKS = {
+    "two chunks": b"1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+    "leading zeros of sizes": b"0002\r\nok\r\n000\r\n\r\n",
+    "extensions": b'2 ; a = "b\t\xe4" ;c\r\nok\r\n0;d=e\r\n\r\n',
+    "trailers": b"2\r\nok\r\n0\r\nX-Odd: v\r\nX-Even:\r\n\r\n",
+}
+
 UNUSUAL_FIELDS = {
     "every character of a name": b"!#$%&'*+-.^_`|~09azAZ: v",
     "bytes beyond ASCII in the value": b"X-Odd: " + bytes(range(0x80, 0x100)),
@@ -141,12 +176,14 @@
     for first in (True, False)
 } | {name: with_status_line(line) for name, line in MALFORMED_STATUS_LINES.items()}
 BROKEN_ANSWERS |= MALFORMED_LENGTHS
+BROKEN_ANSWERS |= {name: HEAD + CHUNKED + b"\r\n" + body for name, body in MALFORMED_CHUNKS.items()}
 
 SOUND_ANSWERS = {
     "plain": HEAD + LENGTH + BODY,
     **{name: with_status_line(line) for name, line in UNUSUAL_STATUS_LINES.items()},
     **{name: with_field(line, True) for name, line in UNUSUAL_FIELDS.items()},
     **UNUSUAL_LENGTHS,
+    **{name: HEAD + CHUNKED + b"\r\n" + body for name, body in UNUSUAL_CHUNKS.items()},
     "only line feeds": (HEAD + LENGTH + BODY).replace(b"\r", b""),
 }
 
