Wait for the answer after an interim one

Callers got an interim answer (102, 103 or an unknown 1xx) without body as the answer, and the answer after it was lost; the status 101 was passed on too.

Cause: http.client skips interim responses with the status 100 only.

StrictResponse reads heads until a final one, each in full and checked; all together stay within the limits of one head. 101 is refused, as no switch of protocols is ever asked for.

--- a/packages/kernel/src/nutmegdrum/strict_response.py
+++ b/packages/kernel/src/nutmegdrum/strict_response.py
@@ -29,6 +29,8 @@
 """Size of a chunk and its extensions, which are ignored (RFC 9112, section 7.1)."""
 
 _LENGTH = re.compile(r"[0-9]{1,18}")
+_SWITCHING_PROTOCOLS = 101
+_FIRST_FINAL_STATUS = 200
 _NO_CONTENT = 204
 _HTTP_11 = 11
 _LINE_BREAK = b"\r\n"
@@ -79,17 +81,27 @@
     """
 
     def begin(self) -> None:
-        """Read the status line and headers, and check that they tell where the body ends."""
+        """Read the head, after any interim ones, and check that it tells where the body ends."""
         reader = _HeadReader(self.fp)
         self.fp = reader
         try:
-            super().begin()
+            self._read_head(reader)
+            while self.status < _FIRST_FINAL_STATUS:
+                if self.status == _SWITCHING_PROTOCOLS:
+                    raise MalformedResponse("unasked switch of protocols", self.status)
+                # `begin` of http.client reads the next head if there is none.
+                self.headers = None
+                self._read_head(reader)
         finally:
             if self.fp is reader:
                 self.fp = reader.file
+        self._check_lengths()
+
+    def _read_head(self, reader: _HeadReader) -> None:
+        """Read a head; `http.client` itself skips interim responses with status 100 only."""
+        super().begin()
         if not reader.ended:
             raise IncompleteRead(b"")
-        self._check_lengths()
 
     def _check_lengths(self) -> None:
         """Check the headers that define the body's length (RFC 9112, section 6)."""
--- a/packages/relay/tests/test_broken_answers.py
+++ b/packages/relay/tests/test_broken_answers.py
@@ -6,7 +6,14 @@
 from nutmegdrum.units import Duration
 from nutmegdrum_coord.clock import SystemClock
 from nutmegdrum_relay.upstream import ConnectionLost, UpstreamPool
-from nutmegdrum_testing.raw_answers import BROKEN_ANSWERS, EMPTY_ANSWERS, SOUND_ANSWERS, with_field
+from nutmegdrum_testing.raw_answers import (
+    BROKEN_ANSWERS,
+    EARLY_HINTS,
+    EMPTY_ANSWERS,
+    PLAIN,
+    SOUND_ANSWERS,
+    with_field,
+)
 from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
 from nutmegdrum_testing.relay_calls import answers, get, numbers
 from nutmegdrum_testing.relay_world import RelayWorld, document, listed
@@ -154,6 +161,11 @@
         status, _, body = get(world, "/stream/x", "POST")
         assert (status, numbers(body)) == (200, [1])
 
+    def test_the_answer_after_an_interim_one_is_passed_on(self, world):
+        world.add(lambda r: r.send_raw(EARLY_HINTS + PLAIN))
+        status, headers, body = get(world, "/non-idempotent/x", "POST")
+        assert (status, body, "Link" in headers) == (200, b"ok", False)
+
     def test_values_are_passed_on_unchanged(self, world):
         value = bytes(range(0xA1, 0x100)) + b"\t:"
         world.add(lambda r: r.send_raw(with_field(b"X-Odd: \t" + value + b"x \t", True)))
--- a/packages/testing/src/nutmegdrum_testing/raw_answers.py
+++ b/packages/testing/src/nutmegdrum_testing/raw_answers.py
@@ -7,6 +7,13 @@
 LENGTH = b"Content-Length: 2\r\n"
 BODY = b"\r\nok"
 
+
+def with_field(line: bytes, first: bool) -> bytes:
+    """Return an answer that has `line` in its head, before or after the body's length."""
+    fields = line + b"\r\n" + LENGTH if first else LENGTH + line + b"\r\n"
+    return HEAD + fields + BODY
+
+
 MALFORMED_FIELDS = {
     "blank in the name": b"X Odd: v",
     "blank before the colon": b"X-Odd : v",
@@ -148,6 +155,31 @@
     "trailers": b"2\r\nok\r\n0\r\nX-Odd: v\r\nX-Even:\r\n\r\n",
 }
 
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n"
+PLAIN = HEAD + LENGTH + BODY
+
+MALFORMED_INTERIM_ANSWERS = {
+    "only an interim answer": EARLY_HINTS,
+    "interim answer cut off": EARLY_HINTS[:-2],
+    "blank in an interim name": b"HTTP/1.1 103 Early Hints\r\nX Odd: v\r\n\r\n" + PLAIN,
+    "blank in a name after 100": b"HTTP/1.1 100 Continue\r\nX Odd: v\r\n\r\n" + PLAIN,
+    "blank in a name after interim": EARLY_HINTS + with_field(b"X Odd: v", True),
+    "body of an interim answer": EARLY_HINTS + b"ok" + PLAIN,
+    "interim status line": b"HTTP/1.1 103 \0\r\n\r\n" + PLAIN,
+    "unasked switch of protocols": b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+    "answer after a switch": b"HTTP/1.1 101 Switching Protocols\r\n\r\n" + PLAIN,
+}
+
+UNUSUAL_INTERIM_ANSWERS = {
+    "continue": b"HTTP/1.1 100 Continue\r\n\r\n" + PLAIN,
+    "processing": b"HTTP/1.1 102 Processing\r\n\r\n" + PLAIN,
+    "early hints": EARLY_HINTS + PLAIN,
+    "several interim answers": EARLY_HINTS + b"HTTP/1.1 100 \r\n\r\n" + EARLY_HINTS * 2 + PLAIN,
+    "unknown interim status": b"HTTP/1.1 199 Odd\r\nX-Odd: v\r\n\r\n" + PLAIN,
+    "chunks after early hints": EARLY_HINTS + HEAD + CHUNKED + CHUNKS,
+    "no length after early hints": EARLY_HINTS + HEAD + BODY,
+}
+
 UNUSUAL_FIELDS = {
     "every character of a name": b"!#$%&'*+-.^_`|~09azAZ: v",
     "bytes beyond ASCII in the value": b"X-Odd: " + bytes(range(0x80, 0x100)),
@@ -159,12 +191,6 @@
 }
 
 
-def with_field(line: bytes, first: bool) -> bytes:
-    """Return an answer that has `line` in its head, before or after the body's length."""
-    fields = line + b"\r\n" + LENGTH if first else LENGTH + line + b"\r\n"
-    return HEAD + fields + BODY
-
-
 def with_status_line(line: bytes) -> bytes:
     """Return an answer with another status line."""
     return line + b"\r\nX-Id: q1\r\n" + LENGTH + BODY
@@ -175,16 +201,17 @@
     for name, line in MALFORMED_FIELDS.items()
     for first in (True, False)
 } | {name: with_status_line(line) for name, line in MALFORMED_STATUS_LINES.items()}
-BROKEN_ANSWERS |= MALFORMED_LENGTHS
+BROKEN_ANSWERS |= MALFORMED_LENGTHS | MALFORMED_INTERIM_ANSWERS
 BROKEN_ANSWERS |= {name: HEAD + CHUNKED + b"\r\n" + body for name, body in MALFORMED_CHUNKS.items()}
 
 SOUND_ANSWERS = {
-    "plain": HEAD + LENGTH + BODY,
+    "plain": PLAIN,
     **{name: with_status_line(line) for name, line in UNUSUAL_STATUS_LINES.items()},
     **{name: with_field(line, True) for name, line in UNUSUAL_FIELDS.items()},
     **UNUSUAL_LENGTHS,
+    **UNUSUAL_INTERIM_ANSWERS,
     **{name: HEAD + CHUNKED + b"\r\n" + body for name, body in UNUSUAL_CHUNKS.items()},
-    "only line feeds": (HEAD + LENGTH + BODY).replace(b"\r", b""),
+    "only line feeds": PLAIN.replace(b"\r", b""),
 }
 
 EMPTY_ANSWERS = {
