Read no body after a 304 that names chunks

Callers got no answer, or a late error, for a 304 with Transfer-Encoding: chunked, which RFC 9112 (6.1) allows: the reader waited for chunks that never come.

Cause: http.client gives such a response the length 0, but reads chunks whenever that header is there.

A response without body is no longer read in chunks.

--- a/packages/kernel/src/nutmegdrum/strict_response.py
+++ b/packages/kernel/src/nutmegdrum/strict_response.py
@@ -96,6 +96,9 @@
             if self.fp is reader:
                 self.fp = reader.file
         self._check_lengths()
+        if self.length == 0:
+            # The head of a response without body may say how a body would be sent.
+            self.chunked = False
 
     def _read_head(self, reader: _HeadReader) -> None:
         """Read a head; `http.client` itself skips interim responses with status 100 only."""
--- a/packages/testing/src/nutmegdrum_testing/raw_answers.py
+++ b/packages/testing/src/nutmegdrum_testing/raw_answers.py
@@ -217,6 +217,7 @@
 EMPTY_ANSWERS = {
     "no content": (204, b"HTTP/1.1 204 No Content\r\n\r\n"),
     "no content and its length": (204, b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n"),
+    "not modified, in chunks": (304, b"HTTP/1.1 304 Not Modified\r\n" + CHUNKED + b"\r\n"),
     "not modified, with a length": (304, b"HTTP/1.1 304 Not Modified\r\n" + LENGTH + b"\r\n"),
 }
 """Statuses and sound answers that have no body, whatever their head says of its length."""
