Read answers of other entry VMs strictly too

A broken answer of the entry VM that a request was passed on to reached the caller as that VM's answer; heads cut off by the end of the connection too. A chunk of a negative or huge size was an internal error.

Cause: PeerExchange read responses with the plain classes of urllib3 and http.client.

It uses StrictConnection now; a broken answer is refused as perhaps run, also if its head says that it has not run, and a stream ends at a malformed chunk.

--- a/packages/kernel/src/nutmegdrum/peer_exchange.py
+++ b/packages/kernel/src/nutmegdrum/peer_exchange.py
@@ -9,7 +9,6 @@
 from nutmegdrum_coord.clock import Clock
 from nutmegdrum_coord.ids import VmId
 from nutmegdrum_coord.verdict import BACKEND_LOST, Refusal, Verdict
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
@@ -19,6 +18,7 @@
 from nutmegdrum.peer_directory import PeerAddress
 from nutmegdrum.plain_http import OWN_HEADERS
 from nutmegdrum.problems import VERDICT_HEADER
+from nutmegdrum.strict_response import StrictConnection
 from nutmegdrum.units import Address, Duration, parse_count
 
 PASSED_ON_HEADER = "nutmegdrum-passed-on"
@@ -94,7 +94,7 @@
 
     def __init__(
         self,
-        conn: HTTPConnection,
+        conn: StrictConnection,
         sock: socket.socket,
         response: HTTPResponse,
         exchanges: OpenExchanges,
@@ -122,8 +122,8 @@
             If it breaks off.
         """
         try:
-            return self._response.read(decode_content=False)
-        except (HTTPError, OSError) as exc:
+            return b"".join(self._conn.response.parts())
+        except (HTTPException, OSError) as exc:
             raise lost_answer("another entry VM", exc) from exc
         finally:
             self.close()
@@ -131,13 +131,13 @@
     def events(self, reader: sse.EventReader) -> Iterator[bytes]:
         """Yield the events that have arrived completely, until the stream or connection ends."""
         try:
-            for chunk in self._response.stream(decode_content=False):
-                events = reader.feed(chunk)
+            for part in self._conn.response.parts():
+                events = reader.feed(part)
                 if events:
                     yield events
                 if reader.ended:
                     break
-        except (HTTPError, OSError) as exc:
+        except (HTTPException, OSError) as exc:
             log_change("passed-on-stream-lost", error=str(exc))
         finally:
             self.close()
@@ -149,8 +149,8 @@
         self._conn.close()
 
 
-def _connect(address: Address) -> HTTPConnection:
-    conn = HTTPConnection(address.host, address.port, timeout=CONNECT_TIMEOUT_S)
+def _connect(address: Address) -> StrictConnection:
+    conn = StrictConnection(address.host, address.port, timeout=CONNECT_TIMEOUT_S)
     conn.connect()
     return conn
 
--- a/packages/kernel/tests/test_broken_answers.py
+++ b/packages/kernel/tests/test_broken_answers.py
@@ -6,12 +6,21 @@
 from nutmegdrum.peer_directory import PeerAddress
 from nutmegdrum.peer_exchange import CallerRequest, PeerExchange
 from nutmegdrum.plain_http import HttpPlainSender, PlainCall
+from nutmegdrum.problems import VERDICT_HEADER
 from nutmegdrum.settings import BackendSettings
+from nutmegdrum.sse import EventReader
 from nutmegdrum.units import Duration
 from nutmegdrum_coord.clock import SystemClock
 from nutmegdrum_coord.ids import VmId
 from nutmegdrum_coord.verdict import Refusal, Verdict
-from nutmegdrum_testing.raw_answers import BROKEN_ANSWERS, EMPTY_ANSWERS, SOUND_ANSWERS
+from nutmegdrum_testing.raw_answers import (
+    BROKEN_ANSWERS,
+    CHUNKED,
+    EMPTY_ANSWERS,
+    HEAD,
+    SOUND_ANSWERS,
+    with_field,
+)
 from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
 
 TIMEOUT_MS = 5_000
@@ -39,11 +48,16 @@
     return reply.status, reply.body
 
 
-def call_peer(server, body=b"x"):
-    """Return status and body of another entry VM's answer."""
+def ask_peer(server, body=b"x"):
+    """Return the answer of another entry VM."""
     exchange = PeerExchange(VmId("n1"), SystemClock(), Duration(TIMEOUT_MS), OpenExchanges())
     req = CallerRequest("POST", "/book", {}, body, 0)
-    answer = exchange.send(PeerAddress(VmId("n2"), server.address), req)
+    return exchange.send(PeerAddress(VmId("n2"), server.address), req)
+
+
+def call_peer(server, body=b"x"):
+    """Return status and body of another entry VM's answer."""
+    answer = ask_peer(server, body)
     return answer.status, answer.read()
 
 
@@ -87,3 +101,31 @@
 
     def test_an_answer_that_ends_with_its_connection_is_whole(self, serve):
         assert call_peer(serve(UNFRAMED)) == (200, b"hal")
+
+    @pytest.mark.parametrize("name", BROKEN_ANSWERS)
+    def test_a_broken_answer_is_refused_as_perhaps_run(self, serve, name):
+        with pytest.raises(Refusal) as raised:
+            call_peer(serve(BROKEN_ANSWERS[name]))
+        assert raised.value.verdict is Verdict.MAY_HAVE_RUN
+
+    @pytest.mark.parametrize("name", SOUND_ANSWERS)
+    def test_a_sound_answer_is_read(self, serve, name):
+        assert call_peer(serve(SOUND_ANSWERS[name])) == (200, b"ok")
+
+    @pytest.mark.parametrize("name", EMPTY_ANSWERS)
+    def test_an_answer_without_body_is_whole(self, serve, name):
+        status, answer = EMPTY_ANSWERS[name]
+        assert call_peer(serve(answer)) == (status, b"")
+
+    def test_a_refusal_in_a_broken_head_counts_as_perhaps_run(self, serve):
+        refusal = f"{VERDICT_HEADER}: {Verdict.NOT_RUN.value}".encode()
+        with pytest.raises(Refusal) as raised:
+            call_peer(serve(with_field(refusal + b"\r\nX Odd: v", True)))
+        assert raised.value.verdict is Verdict.MAY_HAVE_RUN
+
+    def test_a_stream_ends_at_a_malformed_chunk(self, serve):
+        event = b"id: 1\ndata: a\n\n"
+        chunk = b"%x\r\n%s" % (len(event), event)
+        head = HEAD + CHUNKED + b"Content-Type: text/event-stream\r\n\r\n"
+        answer = ask_peer(serve(head + chunk + b"\r\n" + chunk + b"xx" + chunk + b"\r\n"))
+        assert b"".join(answer.events(EventReader())) == 2 * event
