--- a/packages/kernel/tests/test_broken_answers.py
+++ b/packages/kernel/tests/test_broken_answers.py
@@ -6,20 +6,26 @@
 from nutmegdrum.peer_directory import PeerAddress
 from nutmegdrum.peer_exchange import CallerRequest, PeerExchange
 from nutmegdrum.plain_http import HttpPlainSender, PlainCall
+from nutmegdrum.platform import PlatformClient
 from nutmegdrum.problems import VERDICT_HEADER
-from nutmegdrum.settings import BackendSettings
+from nutmegdrum.schedule import Weights
+from nutmegdrum.settings import BackendSettings, PlatformSettings
 from nutmegdrum.sse import EventReader
 from nutmegdrum.units import Duration
 from nutmegdrum_coord.clock import SystemClock
-from nutmegdrum_coord.ids import VmId
+from nutmegdrum_coord.ids import ModelName, VersionName, VmId
 from nutmegdrum_coord.verdict import Refusal, Verdict
 from nutmegdrum_testing.raw_answers import (
     BROKEN_ANSWERS,
     CHUNKED,
+    EARLY_HINTS,
     EMPTY_ANSWERS,
     HEAD,
+    MALFORMED_FIELDS,
+    MALFORMED_STATUS_LINES,
     SOUND_ANSWERS,
     with_field,
+    with_status_line,
 )
 from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
 
@@ -129,3 +135,29 @@
         head = HEAD + CHUNKED + b"Content-Type: text/event-stream\r\n\r\n"
         answer = ask_peer(serve(head + chunk + b"\r\n" + chunk + b"xx" + chunk + b"\r\n"))
         assert b"".join(answer.events(EventReader())) == 2 * event
+
+
+class TestPlatform:
+    @staticmethod
+    def weights(answer):
+        """Return the weights that a client reads in an answer with this body."""
+        server = RawServer(answer)
+        client = PlatformClient(PlatformSettings(live_list=server.address), SystemClock())
+        try:
+            return client.weights(ModelName("m"), VersionName("1"))
+        finally:
+            server.stop()
+
+    BODY = b'{"bytes": 3, "rate_bytes_per_s": 2}'
+
+    @pytest.mark.parametrize("name", MALFORMED_FIELDS)
+    def test_a_malformed_field_is_no_answer(self, name):
+        assert self.weights(with_field(MALFORMED_FIELDS[name], True, self.BODY)) is None
+
+    @pytest.mark.parametrize("name", MALFORMED_STATUS_LINES)
+    def test_a_malformed_status_line_is_no_answer(self, name):
+        assert self.weights(with_status_line(MALFORMED_STATUS_LINES[name], self.BODY)) is None
+
+    @pytest.mark.parametrize("before", [b"", EARLY_HINTS])
+    def test_a_sound_answer_is_read(self, before):
+        assert self.weights(before + with_field(b"X-Odd: \xe4", True, self.BODY)) == Weights(3, 2)
--- a/packages/relay/tests/test_broken_answers.py
+++ b/packages/relay/tests/test_broken_answers.py
@@ -1,22 +1,30 @@
 """Backend servers whose answers break off or aren't HTTP responses."""
 
+import random
 import threading
 
 import pytest
 from nutmegdrum.units import Duration
 from nutmegdrum_coord.clock import SystemClock
+from nutmegdrum_relay.backends import Backends
+from nutmegdrum_relay.dialect import ListingPage
+from nutmegdrum_relay.engine_probes import EngineProbes
+from nutmegdrum_relay.list_reader import ListReader
+from nutmegdrum_relay.silence_policy import Contact
 from nutmegdrum_relay.upstream import ConnectionLost, UpstreamPool
 from nutmegdrum_testing.raw_answers import (
     BROKEN_ANSWERS,
     EARLY_HINTS,
     EMPTY_ANSWERS,
+    MALFORMED_HEADS,
     PLAIN,
     SOUND_ANSWERS,
     with_field,
 )
 from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
 from nutmegdrum_testing.relay_calls import answers, get, numbers
-from nutmegdrum_testing.relay_world import RelayWorld, document, listed
+from nutmegdrum_testing.relay_dialect import PlainDialect
+from nutmegdrum_testing.relay_world import SERVICE, RelayWorld, document, listed
 
 ANSWER_TIMEOUT = Duration(5_000)
 HEAD = b"HTTP/1.1 200 OK\r\nX-Id: q1\r\n"
@@ -172,3 +180,60 @@
         status, headers, body = get(world, "/idempotent/x")
         assert (status, body) == (200, b"ok")
         assert headers["X-Odd"].encode("latin-1") == value + b"x"
+
+
+class Listing(PlainDialect):
+    """Dialect whose listing is empty if its body is sound."""
+
+    def listing_target(self, token):
+        return "/list"
+
+    def decode_listing(self, data):
+        if data != b"ok":
+            raise ValueError(f"unexpected listing {data!r}")
+        return ListingPage([], "")
+
+
+class TestListReader:
+    @staticmethod
+    def read(server):
+        """Return the lists that one read has found."""
+        lists = []
+        reader = ListReader(
+            server.address,
+            SystemClock(),
+            random.Random(1),
+            Listing(),
+            Duration(1_000),
+            lambda: True,
+            lambda listed, began_ms: lists.append(listed),
+        )
+        reader.read()
+        return lists
+
+    @pytest.mark.parametrize("name", BROKEN_ANSWERS)
+    def test_a_broken_answer_is_no_list(self, serve, name):
+        assert self.read(serve(BROKEN_ANSWERS[name])) == []
+
+    @pytest.mark.parametrize("name", SOUND_ANSWERS)
+    def test_a_sound_answer_is_read(self, serve, name):
+        assert self.read(serve(SOUND_ANSWERS[name])) == [[]]
+
+
+class TestEngineProbes:
+    @staticmethod
+    def contact(server):
+        clock = SystemClock()
+        backends = Backends(clock)
+        backends.set_listing([listed("b1", server.address)])
+        (backend,) = backends.of_service(SERVICE)
+        probes = EngineProbes(clock, UpstreamPool(clock), PlainDialect(), lambda backend: True)
+        return probes.contact(backend)
+
+    @pytest.mark.parametrize("name", MALFORMED_HEADS)
+    def test_a_malformed_head_is_no_answer(self, serve, name):
+        server = serve(MALFORMED_HEADS[name])
+        assert self.contact(server) in (Contact.MUTE, Contact.UNKNOWN)
+
+    def test_a_sound_head_is_an_answer(self, serve):
+        assert self.contact(serve(EARLY_HINTS + PLAIN)) is Contact.ANSWERS
--- a/packages/testing/src/nutmegdrum_testing/raw_answers.py
+++ b/packages/testing/src/nutmegdrum_testing/raw_answers.py
@@ -8,10 +8,11 @@
 BODY = b"\r\nok"
 
 
-def with_field(line: bytes, first: bool) -> bytes:
+def with_field(line: bytes, first: bool, body: bytes = b"ok") -> bytes:
     """Return an answer that has `line` in its head, before or after the body's length."""
-    fields = line + b"\r\n" + LENGTH if first else LENGTH + line + b"\r\n"
-    return HEAD + fields + BODY
+    length = b"Content-Length: %d\r\n" % len(body)
+    fields = line + b"\r\n" + length if first else length + line + b"\r\n"
+    return HEAD + fields + b"\r\n" + body
 
 
 MALFORMED_FIELDS = {
@@ -191,18 +192,26 @@
 }
 
 
-def with_status_line(line: bytes) -> bytes:
+def with_status_line(line: bytes, body: bytes = b"ok") -> bytes:
     """Return an answer with another status line."""
-    return line + b"\r\nX-Id: q1\r\n" + LENGTH + BODY
-
+    return line + b"\r\nContent-Length: %d\r\nX-Id: q1\r\n\r\n" % len(body) + body
+
+
+MALFORMED_HEADS = {
+    **{
+        f"{name}, {'first' if first else 'last'}": with_field(line, first)
+        for name, line in MALFORMED_FIELDS.items()
+        for first in (True, False)
+    },
+    **{name: with_status_line(line) for name, line in MALFORMED_STATUS_LINES.items()},
+    **MALFORMED_LENGTHS,
+    **MALFORMED_INTERIM_ANSWERS,
+}
 
 BROKEN_ANSWERS = {
-    f"{name}, {'first' if first else 'last'}": with_field(line, first)
-    for name, line in MALFORMED_FIELDS.items()
-    for first in (True, False)
-} | {name: with_status_line(line) for name, line in MALFORMED_STATUS_LINES.items()}
-BROKEN_ANSWERS |= MALFORMED_LENGTHS | MALFORMED_INTERIM_ANSWERS
-BROKEN_ANSWERS |= {name: HEAD + CHUNKED + b"\r\n" + body for name, body in MALFORMED_CHUNKS.items()}
+    **MALFORMED_HEADS,
+    **{name: HEAD + CHUNKED + b"\r\n" + body for name, body in MALFORMED_CHUNKS.items()},
+}
 
 SOUND_ANSWERS = {
     "plain": PLAIN,
