Refuse heads whose lines end in different ways

Callers could still get a body that wasn't the backend server's: a line feed before the name of a field ended the head, and the rest of it was read as the body, up to the end of the connection.

Cause: a line feed alone was taken for a line break anywhere in a head, also where all other lines end in a carriage return and a line feed. Found by inserting each control byte at each place of a head.

All lines of a head must now end as its status line does, and those of trailers as chunks do. Heads that use line feeds only still pass (RFC 9112, section 2.2).

What is left: where the status line's carriage return itself becomes a line feed, the head ends there.

--- a/packages/kernel/src/nutmegdrum/strict_response.py
+++ b/packages/kernel/src/nutmegdrum/strict_response.py
@@ -14,14 +14,13 @@
 
 from nutmegdrum.chunked_bodies import MAX_LINE, MAX_TRAILERS
 
-_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}( [\t\x20-\x7e\x80-\xff]*)?\r?\n")
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}( [\t\x20-\x7e\x80-\xff]*)?")
 """Version, status and reason (RFC 9112, section 4). Many servers omit the blank before an empty
 reason."""
 
-_FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)\r?\n")
-"""Name and value of a field (RFC 9110, sections 5.1 and 5.5), on a line of its own. A line break
-without a carriage return may be accepted (RFC 9112, section 2.2); folded lines may be rejected
-(section 5.2)."""
+_FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)")
+"""Name and value (RFC 9110, sections 5.1 and 5.5). Folded lines may be rejected (RFC 9112, section
+5.2)."""
 
 _CHUNK_LINE = re.compile(
     rb"([0-9A-Fa-f]{1,16})([ \t]*;[\t\x20-\x7e\x80-\xff]*)?\r\n",
@@ -34,7 +33,7 @@
 _NO_CONTENT = 204
 _HTTP_11 = 11
 _LINE_BREAK = b"\r\n"
-_BLANK_LINES = (b"\r\n", b"\n")
+_LINE_FEED = b"\n"
 _MAX_SHOWN = 64
 _READ_BYTES = 64 << 10
 
@@ -57,18 +56,24 @@
         self.file = file
         self.ended = False
         self._in_fields = False
+        self._line_break = _LINE_BREAK
 
     def readline(self, limit: int = -1) -> bytes:
         line = self.file.readline(limit)
-        if not line.endswith(b"\n"):
+        if not line.endswith(_LINE_FEED):
             # The line is cut off or too long, for which `http.client` has errors of its own.
             return line
-        self.ended = self._in_fields and line in _BLANK_LINES
         if not self._in_fields:
+            # A recipient may accept lines without carriage returns (RFC 9112, section 2.2). A line
+            # feed between other line breaks belongs to the data of a line.
+            self._line_break = _LINE_BREAK if line.endswith(_LINE_BREAK) else _LINE_FEED
+            _check_status_line(_content(line, self._line_break))
             self._in_fields = True
-            return _checked_status(line)
+            return line
+        field = _content(line, self._line_break)
+        self.ended = not field
         self._in_fields = not self.ended
-        return line if self.ended else _checked_field(line)
+        return line if self.ended else _checked_field(field)
 
     def close(self) -> None:
         self.file.close()
@@ -167,8 +172,8 @@
 
     def _skip_trailers(self) -> None:
         left = MAX_TRAILERS
-        while (line := self.fp.readline(left)) not in _BLANK_LINES:
-            _checked_field(line)
+        while (line := self.fp.readline(left)) != _LINE_BREAK:
+            _checked_field(_content(line, _LINE_BREAK))
             left -= len(line)
 
 
@@ -196,15 +201,22 @@
         return self.response
 
 
-def _checked_status(line: bytes) -> bytes:
+def _content(line: bytes, line_break: bytes) -> bytes:
+    """Return a line without its line break."""
+    if not line.endswith(line_break):
+        raise MalformedResponse("invalid line break", line)
+    return line[: -len(line_break)]
+
+
+def _check_status_line(line: bytes) -> None:
     if _STATUS_LINE.fullmatch(line) is None:
         raise MalformedResponse("invalid status line", line)
-    return line
 
 
-def _checked_field(line: bytes) -> bytes:
-    match = _FIELD_LINE.fullmatch(line)
+def _checked_field(field: bytes) -> bytes:
+    """Return the line of a valid field, without the optional white space around its value."""
+    match = _FIELD.fullmatch(field)
     if match is None:
-        raise MalformedResponse("invalid header field", line)
+        raise MalformedResponse("invalid header field", field)
     name, value = match.groups()
     return b"%s: %s\r\n" % (name, value.strip(b" \t"))
--- a/packages/testing/src/nutmegdrum_testing/raw_answers.py
+++ b/packages/testing/src/nutmegdrum_testing/raw_answers.py
@@ -23,6 +23,7 @@
     "NUL in the name": b"X-\0Odd: v",
     "control byte in the name": b"X-\x01Odd: v",
     "line feed in the name": b"X-\nOdd: v",
+    "line feed before the name": b"\nX-Odd: v",
     "carriage return in the name": b"X-\rOdd: v",
     "DEL in the name": b"X-\x7fOdd: v",
     "name beyond ASCII": b"X-\xe4dd: v",
@@ -38,6 +39,8 @@
     "control byte in the value": b"X-Odd: a\x0bb",
     "carriage return in the value": b"X-Odd: a\rb",
     "carriage return at the end": b"X-Odd: a\r",
+    "line feed in the value": b"X-Odd: a\nX-Even: b",
+    "line feed at the end": b"X-Odd: a\n",
     "DEL in the value": b"X-Odd: a\x7f",
 }
 
@@ -146,6 +149,7 @@
     "no end after a trailer": b"2\r\nok\r\n0\r\nX-Odd: v\r\n",
     "blank in a trailer's name": b"2\r\nok\r\n0\r\nX Odd: v\r\n\r\n",
     "control byte in a trailer": b"2\r\nok\r\n0\r\nX-Odd: a\x01b\r\n\r\n",
+    "line feed before a trailer": b"2\r\nok\r\n0\r\n\nX-Odd: v\r\n\r\n",
     "trailer without colon": b"2\r\nok\r\n0\r\nodd\r\n\r\n",
 }
 
@@ -188,7 +192,6 @@
     "no value": b"X-Odd:",
     "no white space": b"X-Odd:v",
     "white space around the value": b"X-Odd: \t v\tw \t",
-    "line break without carriage return": b"X-Odd: v\nX-Even: w",
 }
 
 
