Refuse a status line that is cut off after an interim answer

The new case fails on in 4 tests (exchange, probes, own gateway, other entry VMs) and passes now; a head without its blank line was refused already.

--- a/packages/kernel/src/nutmegdrum/strict_response.py
+++ b/packages/kernel/src/nutmegdrum/strict_response.py
@@ -60,6 +60,7 @@
 
     def readline(self, limit: int = -1) -> bytes:
         line = self.file.readline(limit)
+        self.ended = False
         if not line.endswith(_LINE_FEED):
             # The line is cut off or too long, for which `http.client` has errors of its own.
             return line
--- a/packages/testing/src/nutmegdrum_testing/raw_answers.py
+++ b/packages/testing/src/nutmegdrum_testing/raw_answers.py
@@ -166,6 +166,8 @@
 MALFORMED_INTERIM_ANSWERS = {
     "only an interim answer": EARLY_HINTS,
     "interim answer cut off": EARLY_HINTS[:-2],
+    "status line cut off after interim": EARLY_HINTS + b"HTTP/1.1 200 OK",
+    "head cut off after interim": EARLY_HINTS + HEAD,
     "blank in an interim name": b"HTTP/1.1 103 Early Hints\r\nX Odd: v\r\n\r\n" + PLAIN,
     "blank in a name after 100": b"HTTP/1.1 100 Continue\r\nX Odd: v\r\n\r\n" + PLAIN,
     "blank in a name after interim": EARLY_HINTS + with_field(b"X Odd: v", True),
