Free connections with their last reference

A StrictConnection referred to itself by its response_class, so that it and the buffers of its response stayed until the next garbage collection. The method itself is the class's attribute now. The new test fails on the commit before and passes now.

--- a/packages/kernel/src/nutmegdrum/bounded_http.py
+++ b/packages/kernel/src/nutmegdrum/bounded_http.py
@@ -116,5 +116,5 @@
         self.bounds = Bounds(clock)
 
     def make_response(self, sock: socket.socket, **options) -> BoundedResponse:
-        """Return the response that is about to be read."""
+        """Return a response whose head is still unread."""
         return BoundedResponse(self.bounds, sock, **options)
--- a/packages/kernel/src/nutmegdrum/strict_response.py
+++ b/packages/kernel/src/nutmegdrum/strict_response.py
@@ -22,9 +22,7 @@
 """Name and value (RFC 9110, sections 5.1 and 5.5). Folded lines may be rejected (RFC 9112, section
 5.2)."""
 
-_CHUNK_LINE = re.compile(
-    rb"([0-9A-Fa-f]{1,16})([ \t]*;[\t\x20-\x7e\x80-\xff]*)?\r\n",
-)
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})([ \t]*;[\t\x20-\x7e\x80-\xff]*)?\r\n")
 """Size of a chunk and its extensions, which are ignored (RFC 9112, section 7.1)."""
 
 _LENGTH = re.compile(r"[0-9]{1,18}")
@@ -191,16 +189,16 @@
     def __init__(self, host: str, port: int, **options):
         super().__init__(host, port, **options)
         self.response: StrictResponse | None = None
-        self.response_class = self._begin_response
 
-    def make_response(self, sock: socket.socket, **options) -> StrictResponse:
-        """Return the response that is about to be read."""
-        return StrictResponse(sock, **options)
-
-    def _begin_response(self, sock: socket.socket, **options) -> StrictResponse:
+    def response_class(self, sock: socket.socket, **options) -> StrictResponse:
+        """Return the response that is about to be read; `http.client` calls it so."""
         self.response = self.make_response(sock, **options)
         return self.response
 
+    def make_response(self, sock: socket.socket, **options) -> StrictResponse:
+        """Return a response whose head is still unread."""
+        return StrictResponse(sock, **options)
+
 
 def _content(line: bytes, line_break: bytes) -> bytes:
     """Return a line without its line break."""
--- a/packages/kernel/tests/test_strict_response.py
+++ b/packages/kernel/tests/test_strict_response.py
@@ -1,8 +1,9 @@
 import io
+import weakref
 from http.client import HTTPException
 
 import pytest
-from nutmegdrum.strict_response import StrictResponse
+from nutmegdrum.strict_response import StrictConnection, StrictResponse
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nX-Id: q1\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n"
@@ -61,3 +62,12 @@
         for place in range(len(HEAD)):
             with pytest.raises(HTTPException):
                 read(HEAD[:place])
+
+
+class TestConnection:
+    def test_is_freed_without_its_garbage_being_collected(self):
+        conn = StrictConnection("127.0.0.1", 1)
+        conn.response_class(Connection(HEAD), method="GET")
+        freed = weakref.ref(conn)
+        del conn
+        assert freed() is None
