--- a/packages/relay/tests/test_broken_answers.py
+++ b/packages/relay/tests/test_broken_answers.py
@@ -14,8 +14,10 @@
 from nutmegdrum_relay.upstream import ConnectionLost, UpstreamPool
 from nutmegdrum_testing.raw_answers import (
     BROKEN_ANSWERS,
+    CHUNKED,
     EARLY_HINTS,
     EMPTY_ANSWERS,
+    HEAD,
     MALFORMED_HEADS,
     PLAIN,
     SOUND_ANSWERS,
@@ -28,7 +30,6 @@
 from nutmegdrum_testing.relay_world import SERVICE, RelayWorld, document, listed
 
 ANSWER_TIMEOUT = Duration(5_000)
-HEAD = b"HTTP/1.1 200 OK\r\nX-Id: q1\r\n"
 UNFRAMED = HEAD + b"\r\nhal"
 
 
@@ -171,6 +172,21 @@
         status, _, body = get(world, "/stream/x", "POST")
         assert (status, numbers(body)) == (200, [1])
 
+    def test_a_stream_goes_on_elsewhere_after_a_malformed_chunk(self, world):
+        event = b"id: 1\ndata: t1\n\n"
+        head = HEAD + CHUNKED + b"Content-Type: text/event-stream\r\n\r\n"
+        torn = head + b"%x\r\n%s" % (len(event), event) + b"xx0\r\n\r\n"
+
+        def send_rest(received):
+            received.start_events(X_Id="q1")
+            for number in range(int(received.headers.get("x-last", "0")) + 1, 4):
+                received.event(number)
+            received.end_events()
+
+        self.add_backends(world, torn, send_rest)
+        status, _, body = get(world, "/stream/x", "POST")
+        assert (status, numbers(body)) == (200, [1, 2, 3])
+
     def test_the_answer_after_an_interim_one_is_passed_on(self, world):
         world.add(lambda r: r.send_raw(EARLY_HINTS + PLAIN))
         status, headers, body = get(world, "/non-idempotent/x", "POST")
