--- a/packages/kernel/src/nutmegdrum/strict_response.py
+++ b/packages/kernel/src/nutmegdrum/strict_response.py
@@ -44,10 +44,17 @@
 
 
 class _HeadReader:
-    """Line reader that rejects invalid lines, and tells whether the head was read to its end.
+    """Reader of the lines of one head or more, which rejects invalid ones.
 
-    Lines are passed on without the optional white space around a value, which the e-mail parser
-    would keep.
+    Fields are passed on without the optional white space around their value, which the e-mail
+    parser would keep.
+
+    Attributes
+    ----------
+    file : file
+        Buffered reader of the connection.
+    ended : bool
+        Whether the line read last was the blank one that ends a head.
     """
 
     def __init__(self, file):
@@ -66,10 +73,10 @@
             # A recipient may accept lines without carriage returns (RFC 9112, section 2.2). A line
             # feed between other line breaks belongs to the data of a line.
             self._line_break = _LINE_BREAK if line.endswith(_LINE_BREAK) else _LINE_FEED
-            _check_status_line(_content(line, self._line_break))
+            _check_status_line(_without_line_break(line, self._line_break))
             self._in_fields = True
             return line
-        field = _content(line, self._line_break)
+        field = _without_line_break(line, self._line_break)
         self.ended = not field
         self._in_fields = not self.ended
         return line if self.ended else _checked_field(field)
@@ -172,7 +179,7 @@
     def _skip_trailers(self) -> None:
         left = MAX_TRAILERS
         while (line := self.fp.readline(left)) != _LINE_BREAK:
-            _checked_field(_content(line, _LINE_BREAK))
+            _checked_field(_without_line_break(line, _LINE_BREAK))
             left -= len(line)
 
 
@@ -191,7 +198,7 @@
         self.response: StrictResponse | None = None
 
     def response_class(self, sock: socket.socket, **options) -> StrictResponse:
-        """Return the response that is about to be read; `http.client` calls it so."""
+        """Return a new response; `http.client` calls this attribute to make each one."""
         self.response = self.make_response(sock, **options)
         return self.response
 
@@ -200,8 +207,8 @@
         return StrictResponse(sock, **options)
 
 
-def _content(line: bytes, line_break: bytes) -> bytes:
-    """Return a line without its line break."""
+def _without_line_break(line: bytes, line_break: bytes) -> bytes:
+    """Return a line without its line break, which must be the given one."""
     if not line.endswith(line_break):
         raise MalformedResponse("invalid line break", line)
     return line[: -len(line_break)]
@@ -213,7 +220,13 @@
 
 
 def _checked_field(field: bytes) -> bytes:
-    """Return the line of a valid field, without the optional white space around its value."""
+    """Return the line of a field without the optional white space around its value.
+
+    Raises
+    ------
+    MalformedResponse
+        If its name or value is invalid.
+    """
     match = _FIELD.fullmatch(field)
     if match is None:
         raise MalformedResponse("invalid header field", field)
--- a/packages/kernel/tests/test_broken_answers.py
+++ b/packages/kernel/tests/test_broken_answers.py
@@ -27,7 +27,7 @@
     with_field,
     with_status_line,
 )
-from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
+from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, raw_servers
 
 TIMEOUT_MS = 5_000
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nhal"
@@ -35,15 +35,8 @@
 
 @pytest.fixture
 def serve():
-    running = []
-
-    def start(answer, ending=Ending.CLOSE):
-        running.append(RawServer(answer, ending))
-        return running[-1]
-
-    yield start
-    for server in running:
-        server.stop()
+    with raw_servers() as start:
+        yield start
 
 
 def call_service(server, body=b"x"):
@@ -139,25 +132,25 @@
 
 class TestPlatform:
     @staticmethod
-    def weights(answer):
-        """Return the weights that a client reads in an answer with this body."""
-        server = RawServer(answer)
+    def weights(server):
+        """Return the weights that a client reads."""
         client = PlatformClient(PlatformSettings(live_list=server.address), SystemClock())
-        try:
-            return client.weights(ModelName("m"), VersionName("1"))
-        finally:
-            server.stop()
+        return client.weights(ModelName("m"), VersionName("1"))
 
     BODY = b'{"bytes": 3, "rate_bytes_per_s": 2}'
 
     @pytest.mark.parametrize("name", MALFORMED_FIELDS)
-    def test_a_malformed_field_is_no_answer(self, name):
-        assert self.weights(with_field(MALFORMED_FIELDS[name], True, self.BODY)) is None
+    def test_a_malformed_field_is_no_answer(self, serve, name):
+        assert self.weights(serve(with_field(MALFORMED_FIELDS[name], True, self.BODY))) is None
 
     @pytest.mark.parametrize("name", MALFORMED_STATUS_LINES)
-    def test_a_malformed_status_line_is_no_answer(self, name):
-        assert self.weights(with_status_line(MALFORMED_STATUS_LINES[name], self.BODY)) is None
+    def test_a_malformed_status_line_is_no_answer(self, serve, name):
+        assert (
+            self.weights(serve(with_status_line(MALFORMED_STATUS_LINES[name], self.BODY))) is None
+        )
 
     @pytest.mark.parametrize("before", [b"", EARLY_HINTS])
-    def test_a_sound_answer_is_read(self, before):
-        assert self.weights(before + with_field(b"X-Odd: \xe4", True, self.BODY)) == Weights(3, 2)
+    def test_a_sound_answer_is_read(self, serve, before):
+        assert self.weights(serve(before + with_field(b"X-Odd: \xe4", True, self.BODY))) == Weights(
+            3, 2
+        )
--- a/packages/plugins/tests/test_broken_answers.py
+++ b/packages/plugins/tests/test_broken_answers.py
@@ -14,7 +14,7 @@
     with_field,
     with_status_line,
 )
-from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
+from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, raw_servers
 
 TIMEOUT_MS = 5_000
 EVENTS = b'{"events": []}'
@@ -23,15 +23,8 @@
 
 @pytest.fixture
 def serve():
-    running = []
-
-    def start(answer, ending=Ending.CLOSE):
-        running.append(RawServer(answer, ending))
-        return running[-1]
-
-    yield start
-    for server in running:
-        server.stop()
+    with raw_servers() as start:
+        yield start
 
 
 def backend_of(server):
--- a/packages/relay/tests/test_broken_answers.py
+++ b/packages/relay/tests/test_broken_answers.py
@@ -24,7 +24,7 @@
     with_field,
     with_status_line,
 )
-from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, RawServer
+from nutmegdrum_testing.raw_server import LARGE_UPLOAD, Ending, raw_servers
 from nutmegdrum_testing.relay_calls import answers, get, numbers
 from nutmegdrum_testing.relay_dialect import PlainDialect
 from nutmegdrum_testing.relay_world import SERVICE, RelayWorld, document, listed
@@ -35,15 +35,8 @@
 
 @pytest.fixture
 def serve():
-    running = []
-
-    def start(answer, ending=Ending.CLOSE):
-        running.append(RawServer(answer, ending))
-        return running[-1]
-
-    yield start
-    for server in running:
-        server.stop()
+    with raw_servers() as start:
+        yield start
 
 
 @pytest.fixture
--- a/packages/testing/src/nutmegdrum_testing/raw_server.py
+++ b/packages/testing/src/nutmegdrum_testing/raw_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+from collections.abc import Callable, Iterator
 from enum import Enum
 
 from nutmegdrum.sockets import RESET_ON_CLOSE, unsent_bytes
@@ -74,6 +75,22 @@
                 conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
+@contextlib.contextmanager
+def raw_servers() -> Iterator[Callable[..., RawServer]]:
+    """Yield a function that starts servers as `RawServer` does, and stop them at the end."""
+    running: list[RawServer] = []
+
+    def start(answer: bytes, ending: Ending = Ending.CLOSE) -> RawServer:
+        running.append(RawServer(answer, ending))
+        return running[-1]
+
+    try:
+        yield start
+    finally:
+        for server in running:
+            server.stop()
+
+
 def _read_until(conn: socket.socket, end: bytes) -> bytes:
     data = b""
     while end not in data:
