--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -34,6 +34,9 @@
 }
 """Bounds of the small deployments."""
 
+_given: set[int] = set()
+"""Ports that `free_port` has returned."""
+
 _PLACEHOLDER = re.compile(r"\{\{([a-z_.0-9]+)(\|json)?\}\}")
 
 
@@ -46,7 +49,8 @@
     """Return a port that is free on all `hosts`."""
     while True:
         port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
-        if all(_is_free(host, port) for host in hosts):
+        if port not in _given and all(_is_free(host, port) for host in hosts):
+            _given.add(port)
             return port
 
 
@@ -218,9 +222,7 @@
         hosts = STATE_HOSTS + ENTRY_HOSTS
         ports: list[int] = []
         while len(ports) < 5:
-            port = free_port(hosts)
-            if port not in ports:
-                ports.append(port)
+            ports.append(free_port(hosts))
         self.control_port, self.front_port, self.ready_port, first, last = ports
         seeds = [f"{host}:{self.control_port}" for host in states_at]
         self.daemons: list[Daemon] = []
