--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,3 @@
-#!/usr/bin/env bash
-exec python3 "$(dirname "$0")/case.py"
+#!/bin/bash
+# Plays the case; TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" && exec python3 case.py .
