--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
-# Plays the case; TROUBLE=0 leaves the disruption out.
+# Plays the case and writes record.txt; TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" && exec python3 case.py .
