Answer 502 if a server's own status denies a run

What callers saw: a backend server ran a booking and answered 503 (or 408, 429) itself, without stating that the request has not run.

Cause: only answers that state "not run" were told apart; any other answer to a request that may not be sent again was passed on unchanged, although callers read these statuses as a verdict. It was so for plain requests, for streams that may not be resumed, and for answers by way of another entry VM.

Change: such an answer is a failed attempt, which ends in 502 may-have-run. Rejections that a server states, 421 of a server at another one's address, other statuses and requests that may be repeated are handled as before.

--- a/packages/relay/src/nutmegdrum_relay/attempt_tally.py
+++ b/packages/relay/src/nutmegdrum_relay/attempt_tally.py
@@ -5,6 +5,7 @@
 from nutmegdrum_relay.attempt import FAILED_STATUS, Attempt, AttemptLost
 from nutmegdrum_relay.backends import Backend
 from nutmegdrum_relay.pending_request import PendingRequest
+from nutmegdrum_relay.refusals import denies_run
 from nutmegdrum_relay.retry_policy import Loss
 from nutmegdrum_relay.version_gate import VersionGate
 from nutmegdrum_relay.version_tally import FirstEventWait, TallyKey
@@ -70,7 +71,8 @@
         if attempt.tally_key is None or pending.caller_gone:
             return
         counted = attempt.last_data_ms is not None
-        if attempt.answer.status >= FAILED_STATUS:
+        status = attempt.answer.status
+        if status >= FAILED_STATUS or denies_run(pending.route, status):
             self._gate.tally.on_error(attempt.tally_key, counted)
         elif failed:
             self._gate.tally.on_crash(attempt.tally_key, counted)
--- a/packages/relay/src/nutmegdrum_relay/documents.py
+++ b/packages/relay/src/nutmegdrum_relay/documents.py
@@ -75,6 +75,11 @@
         """Return whether a request may be retried after it may have run."""
         return self.kind is RouteKind.IDEMPOTENT
 
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once, as a whole or from its last event."""
+        return self.idempotent or (self.kind is RouteKind.STREAM and self.resumable)
+
 
 class EngineLimits(_Model, frozen=True):
     """Capacity and features of the model engines of a service.
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -15,6 +15,7 @@
 from nutmegdrum_relay.dialect import Headers
 from nutmegdrum_relay.headers import answer_headers
 from nutmegdrum_relay.pending_request import PendingRequest
+from nutmegdrum_relay.refusals import denies_run
 from nutmegdrum_relay.resends import Resends
 from nutmegdrum_relay.retry_policy import FailedAttempts, Loss, attempt_timeout, may_retry
 from nutmegdrum_relay.selection import Selection
@@ -118,8 +119,11 @@
         try:
             body = self._attempts.read_body(pending, attempt, timeout)
             keep = True
-            failed = attempt.answer.status >= FAILED_STATUS
-            return CompleteAnswer(attempt.answer.status, attempt.answer.headers, body)
+            status = attempt.answer.status
+            failed = status >= FAILED_STATUS
+            if denies_run(pending.route, status):
+                raise AttemptLost(Loss.FAILED, f"status {status} of a request that may have run")
+            return CompleteAnswer(status, attempt.answer.headers, body)
         except AttemptLost as lost:
             # A shortage of this VM's memory says nothing about the server.
             failed = lost.aborted is not AbortReason.NO_MEMORY
--- a/packages/relay/src/nutmegdrum_relay/refusals.py
+++ b/packages/relay/src/nutmegdrum_relay/refusals.py
@@ -6,6 +6,10 @@
 from nutmegdrum_coord import verdict as v
 
 from nutmegdrum_relay.dialect import Headers
+from nutmegdrum_relay.documents import Route
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""HTTP statuses by which callers know that a request has not run and will not run."""
 
 _STATUSES = {
     v.BODY_TOO_LARGE: 413,
@@ -30,6 +34,15 @@
     return _NOT_RUN_STATUS if not_run else _MAY_HAVE_RUN_STATUS
 
 
+def denies_run(route: Route, status: int) -> bool:
+    """Return whether an answer's status would tell the caller falsely that a request has not run.
+
+    This concerns answers of backend servers that do not state that the request has not run. Its
+    caller would send such a request again, which must not be repeated.
+    """
+    return status in NOT_RUN_STATUSES and not route.repeatable
+
+
 def refusal_answer(refusal: v.Refusal) -> tuple[int, Headers, bytes]:
     """Return status, headers and body; `Retry-After` may have fractions of a second."""
     status = refusal_status(refusal)
--- a/packages/relay/src/nutmegdrum_relay/retry_policy.py
+++ b/packages/relay/src/nutmegdrum_relay/retry_policy.py
@@ -183,9 +183,7 @@
         return False
     if not loss.reached_backend:
         return progress.unsent < MAX_UNSENT_ATTEMPTS
-    if loss is Loss.NOT_RUN or route.idempotent:
-        return True
-    return route.kind is RouteKind.STREAM and route.resumable
+    return loss is Loss.NOT_RUN or route.repeatable
 
 
 def silence_attempts(route: Route) -> int:
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -24,6 +24,7 @@
 from nutmegdrum_relay.dialect import Headers
 from nutmegdrum_relay.headers import answer_headers
 from nutmegdrum_relay.pending_request import PendingRequest
+from nutmegdrum_relay.refusals import denies_run
 from nutmegdrum_relay.resends import WAITS, Lack, Resends, WaitEnd
 from nutmegdrum_relay.retry_policy import (
     MAX_UNSENT_ATTEMPTS,
@@ -308,11 +309,14 @@
         may_continue = (
             state.failed_attempts.sent + 1 < pending.route.max_attempts and pending.route.resumable
         )
-        if state.head_sent or (attempt.answer.status >= FAILED_STATUS and may_continue):
-            raise AttemptLost(Loss.FAILED, f"status {attempt.answer.status}")
+        status = attempt.answer.status
+        if state.head_sent or (status >= FAILED_STATUS and may_continue):
+            raise AttemptLost(Loss.FAILED, f"status {status}")
+        if denies_run(pending.route, status):
+            raise AttemptLost(Loss.FAILED, f"status {status} of a request that may have run")
         pending.answer_whole = True
-        call.answer(attempt.answer.status, answer_headers(attempt.answer.headers), body)
-        return attempt.answer.status
+        call.answer(status, answer_headers(attempt.answer.headers), body)
+        return status
 
     def _record_failure(
         self, pending: PendingRequest, state: _StreamState, backend: Backend, lost: AttemptLost
