Drop the gateway's verdict headers from replies of plain services

What callers would see: a service that set Nutmegdrum-Verdict: not-run in the reply to a call that it ran was believed, by callers and by an entry VM that had passed the call on, which then sent it to another one.

Cause: replies were passed on with all headers but those of the connection, so that a statement of the gateway and one of a service looked the same.

Change: the three headers by which an entry VM tells what became of a request are dropped from replies.

Evidence: the 9 cases of TestReplyHeaders fail without the change and pass with it.

--- a/packages/kernel/src/nutmegdrum/plain_http.py
+++ b/packages/kernel/src/nutmegdrum/plain_http.py
@@ -47,6 +47,11 @@
     }
 )
 
+STATED_BY_GATEWAY = frozenset({"idempotency-replayed", "nutmegdrum-sent", "nutmegdrum-verdict"})
+"""Headers by which an entry VM tells callers and other entry VMs what became of a request; they are
+not passed through from backend servers, as a request that ran would be taken for one that did not.
+"""
+
 
 class PlainCall(NamedTuple):
     """One attempt at a call to a plain service.
@@ -211,4 +216,5 @@
 
 
 def _reply_headers(response: HTTPResponse) -> dict[str, str]:
-    return {k: v for k, v in response.headers.items() if k.lower() not in OWN_HEADERS}
+    dropped = OWN_HEADERS | STATED_BY_GATEWAY
+    return {k: v for k, v in response.headers.items() if k.lower() not in dropped}
--- a/packages/kernel/tests/test_plain_http.py
+++ b/packages/kernel/tests/test_plain_http.py
@@ -65,6 +65,21 @@
             assert call(service).kind is LossKind.RESET
 
 
+class TestReplyHeaders:
+    @pytest.mark.parametrize(
+        "name", ["Nutmegdrum-Verdict", "Nutmegdrum-Sent", "Idempotency-Replayed"]
+    )
+    @pytest.mark.parametrize("status", [200, 429, 503])
+    def test_a_service_cannot_state_in_the_gateways_name_what_became_of_a_call(self, name, status):
+        # Guards against a call that ran and reaches its caller, or another entry VM, as not run.
+        service = ScriptedBackend(lambda r: r.answer(status, **{name: "not-run", "ETag": "e"}))
+        reply = call(service)
+        service.stop()
+        assert reply.status == status
+        assert name not in reply.headers
+        assert reply.headers["ETag"] == "e"
+
+
 class TestEndlessResponses:
     @pytest.mark.parametrize("name", ENDLESS_HEADS)
     def test_endless_head_is_rejected(self, serve, name):
