Keep servers in use beside entries that name none

What callers saw: another writer added entries to the platform's list for 3 s, with ids of their own, an unknown service, and the addresses of all servers of one service.

Cause: entries that name no backend server counted as one. And the mark of a displaced server was never taken back while the server stayed listed.

One of a service that the document in force does not name neither displaces a server nor hides one; this is judged anew with each document. Which server is displaced follows from the list each time. One for which another server answered is tried again if it is still listed 10 s later. The own gateway ignores an entry with the id of a server of another service.

--- a/packages/kernel/src/nutmegdrum/fleet.py
+++ b/packages/kernel/src/nutmegdrum/fleet.py
@@ -114,7 +114,7 @@
         if not self.knows_leaving:
             self._changed()
         self._sequence = live.sequence
-        backends = {BackendId(vm.id): vm for vm in live.vms if vm.kind is VmKind.BACKEND}
+        backends = {BackendId(vm.id): vm for vm in live.vms if self._names_backend(vm)}
         self.entry_vms = {vm.id: vm for vm in live.vms if vm.kind is VmKind.ENTRY}
         for backend, vm in backends.items():
             member = self.members.get(backend) or self._add(backend, vm)
@@ -124,6 +124,12 @@
             if member.listed and backend not in backends:
                 self._mark(member, leaving=member.leaving, gone=True)
 
+    def _names_backend(self, vm: ListedVm) -> bool:
+        """Return whether an entry names a backend server, and not another writer's by its id."""
+        member = self.members.get(BackendId(vm.id))
+        other = member is not None and vm.service not in ("", member.cfg.service)
+        return vm.kind is VmKind.BACKEND and not other
+
     def on_load_report(self, now_ms: ElapsedMs, backend: BackendId, report: LoadReport) -> None:
         """Record a load report unless a newer one is known.
 
--- a/packages/kernel/tests/test_leader.py
+++ b/packages/kernel/tests/test_leader.py
@@ -1,6 +1,7 @@
 import random
 
 import msgspec
+import pytest
 from nutmegdrum.fleet import ListedVm, LiveList
 from nutmegdrum.leader import Leader, NeedWeights, Propose
 from nutmegdrum.messages import LoadedVersion, LoadReport
@@ -132,6 +133,20 @@
         leaving = [backend.id for backend in world.leader.view().backends if backend.leaving]
         assert leaving == ["b0"]
 
+    @pytest.mark.parametrize("state", ["live", "leaving"])
+    def test_an_entry_of_another_writer_with_the_id_of_a_server_is_ignored(self, state):
+        # Guards against an entry that names no server and takes a sound one out of use.
+        world = World()
+        sound = ListedVm(id="b0", address=ADDRESS, kind="backend", service="s", state="live")
+        other = msgspec.structs.replace(sound, service="elsewhere", state=state)
+        live = LiveList(sequence=1, vms=[sound, other])
+        world.leader.on_live_list(msgspec.convert(msgspec.to_builtins(live), LiveList))
+        assert "b0" in [each.id for each in world.leader.view().backends if not each.leaving]
+        world.leader.on_live_list(
+            msgspec.convert(msgspec.to_builtins(LiveList(sequence=2, vms=[sound])), LiveList)
+        )
+        assert "b0" in [each.id for each in world.leader.view().backends if not each.leaving]
+
     def test_a_view_before_the_first_live_list_says_that_leaving_servers_are_unknown(self):
         world = World(platform={"live_list": ADDRESS})
         before = world.leader.view()
--- a/packages/relay/src/nutmegdrum_relay/backends.py
+++ b/packages/relay/src/nutmegdrum_relay/backends.py
@@ -39,6 +39,10 @@
 REPORTED_PAUSE = Duration(1_000)
 """Pause of a backend server that another entry VM reported down; two of that VM's reports."""
 
+REPLACED_VALID = Duration(10_000)
+"""Age up to which another server's answer at a backend server's address excludes it. The list keeps
+servers that have ended for some seconds; one that it still has after this is tried again."""
+
 _USUAL_PERCENT = 100
 
 OTHER_PACE = Gauge("nutmegdrum_backends_of_other_pace", "Servers known to be slower or faster")
@@ -55,8 +59,19 @@
 class Backend:
     """One incarnation of a backend server, guarded by the registry's lock.
 
+    Parameters
+    ----------
+    list_number : int
+        Number of the list in which it was first listed.
+
     Attributes
     ----------
+    delisted : bool
+        Whether it has left the list.
+    displaced : bool
+        Whether one that was listed later has its address.
+    found_replaced_ms : int or None
+        Elapsed time in ms at which another server answered at its address; None if none has.
     work : Work
         Work of this VM's requests in progress there, copies included.
     requests : int
@@ -83,8 +98,9 @@
 
     is_entry_vm = False
 
-    def __init__(self, listed: ListedBackend):
+    def __init__(self, listed: ListedBackend, list_number: int = 0):
         self.listed = listed
+        self.list_number = list_number
         self.id: BackendId = listed.id
         self.address: Address = listed.address
         self.data_centre: DataCentre = listed.data_centre
@@ -100,11 +116,18 @@
         self.pause_ms = 0
         self.paused_as_silent = False
         self.last_data_ms = 0
-        self.gone = False
+        self.delisted = False
+        self.displaced = False
+        self.found_replaced_ms: int | None = None
         self.announced_leaving = False
         self.backoff_until_ms = 0
         self.reported_down_until_ms = 0
 
+    @property
+    def gone(self) -> bool:
+        """Return whether it is not to be found at its address, as far as is known."""
+        return self.delisted or self.displaced or self.found_replaced_ms is not None
+
     def health(self, now_ms: int) -> Health:
         """Return whether it may get requests now."""
         if self.gone:
@@ -173,6 +196,9 @@
         self._shared_ms: int | None = None
         self.listing_name = ""
         self._listing_lock = threading.Lock()
+        self._services: frozenset[ServiceName] | None = None
+        self._listing: tuple[ListedBackend, ...] = ()
+        self._lists = 0
         self._offered: tuple[ListedBackend, ...] = ()
         self._applied_name = ""
         self._read_ms: int | None = None
@@ -222,6 +248,7 @@
                 self._apply(self._offered)
                 self._applied_name = shared.name
             self._read_ms = self._shared_ms
+            self._readmit(self._read_ms)
 
     def _is_newer(self, name: str, earliest_ms: int) -> bool:
         """Return whether a shared list was read after the one in force."""
@@ -243,16 +270,31 @@
                 return
             self._read_ms = read_ms
             self._applied_name = self.listing_name = ""
-            self._apply(listing)
+            self._apply(tuple(listing))
+            self._readmit(read_ms)
+
+    def set_services(self, services: Iterable[ServiceName]) -> None:
+        """Set the services of the routing document in force.
+
+        Entries of other services name no backend server: they neither take the place of another
+        entry with their id nor displace the server at their address.
+        """
+        with self._listing_lock:
+            services = frozenset(services)
+            if services != self._services:
+                self._services = services
+                self._apply(self._listing)
 
-    def _apply(self, listing: Iterable[ListedBackend]) -> None:
+    def _apply(self, listing: tuple[ListedBackend, ...]) -> None:
         with self._lock:
+            self._listing = listing
+            self._lists += 1
             known = self._backends
             self._backends = {}
-            for listed in listing:
+            for listed in self._one_for_each_id(listing):
                 backend = known.get(listed.id)
                 if backend is None or backend.address != listed.address:
-                    backend = Backend(listed)
+                    backend = Backend(listed, self._lists)
                     backend.others_work = self._others.get(listed.id, NO_WORK)
                     backend.usual_pace = self._usual_pace(listed.id)
                     log_decision("backend_listed", backend=listed.id, service=listed.service)
@@ -263,18 +305,55 @@
                     backend.announced_leaving = False
                 backend.listed = listed
                 self._backends[listed.id] = backend
-            self._mark_replaced(known)
             for backend_id in known.keys() - self._backends.keys():
-                known[backend_id].gone = True
+                known[backend_id].delisted = True
                 log_decision("backend_gone", backend=backend_id)
+            self._update_displaced()
             self.limits.retain(self._backends.keys())
 
-    def _mark_replaced(self, known: dict[BackendId, Backend]) -> None:
-        """Mark backend servers as gone if a newer one is listed at the same address."""
-        new = {b.address for b in self._backends.values() if b.id not in known}
+    def _one_for_each_id(self, listing: Iterable[ListedBackend]) -> Iterable[ListedBackend]:
+        """Return the last entry of each id, if possible one that names a backend server."""
+        chosen: dict[BackendId, ListedBackend] = {}
+        for listed in listing:
+            other = chosen.get(listed.id)
+            if other is None or self._has_service(listed) or not self._has_service(other):
+                chosen[listed.id] = listed
+        return chosen.values()
+
+    def _has_service(self, listed: ListedBackend) -> bool:
+        """Return whether an entry's service is in the routing document; yes before the first."""
+        return self._services is None or listed.service in self._services
+
+    def _update_displaced(self) -> None:
+        """Mark the servers at whose address a later one is listed that may be there."""
+        latest: dict[Address, Backend] = {}
         for backend in self._backends.values():
-            if backend.id in known and backend.address in new:
-                backend.gone = True
+            if self._has_service(backend.listed) and backend.found_replaced_ms is None:
+                other = latest.get(backend.address)
+                if other is None or backend.list_number > other.list_number:
+                    latest[backend.address] = backend
+        for backend in self._backends.values():
+            later = latest.get(backend.address, backend)
+            displaced = backend.list_number < later.list_number
+            if displaced != backend.displaced:
+                backend.displaced = displaced
+                kind = "backend_displaced" if displaced else "backend_readmitted"
+                log_decision(kind, backend=backend.id, address=backend.address, later=later.id)
+
+    def _readmit(self, read_ms: int) -> None:
+        """Readmit servers found replaced that a list still has which was read much later."""
+        with self._lock:
+            readmitted = [
+                backend
+                for backend in self._backends.values()
+                if backend.found_replaced_ms is not None
+                and read_ms - backend.found_replaced_ms >= REPLACED_VALID
+            ]
+            for backend in readmitted:
+                backend.found_replaced_ms = None
+                log_decision("backend_readmitted", backend=backend.id, address=backend.address)
+            if readmitted:
+                self._update_displaced()
 
     def successor(self, backend: Backend) -> Backend:
         """Return the current backend server of the same service at `backend`'s address."""
@@ -299,7 +378,7 @@
                 b.id
                 for b in self._backends.values()
                 if b.listed.service not in cut_off
-                and (b.gone or (now_ms < b.paused_until_ms and b.pause_ms))
+                and (b.found_replaced_ms is not None or (now_ms < b.paused_until_ms and b.pause_ms))
                 and not b.paused_as_silent
             )
 
@@ -317,8 +396,13 @@
                     backend.paused_as_silent = True
 
     def on_replaced(self, backend: Backend) -> None:
-        """Mark a backend server as gone because another one answers at its address."""
-        backend.gone = True
+        """Exclude a backend server because another one answers at its address.
+
+        A server that it had displaced there is used again.
+        """
+        with self._lock:
+            backend.found_replaced_ms = self._clock.elapsed_ms()
+            self._update_displaced()
         log_decision("backend_replaced", backend=backend.id, address=backend.address)
 
     def drop_others_work(self, after: Duration) -> None:
--- a/packages/relay/src/nutmegdrum_relay/dialect.py
+++ b/packages/relay/src/nutmegdrum_relay/dialect.py
@@ -144,10 +144,19 @@
 
 
 class ListingPage(NamedTuple):
-    """Page of the platform's list, and the token of the next page (empty for none)."""
+    """Page of the platform's list.
+
+    Attributes
+    ----------
+    next_token : str
+        Token of the next page; empty for none.
+    ignored : int
+        Entries that name no backend server.
+    """
 
     listed: list[ListedBackend]
     next_token: str
+    ignored: int = 0
 
 
 class Dialect(Protocol):
--- a/packages/relay/src/nutmegdrum_relay/entry_role.py
+++ b/packages/relay/src/nutmegdrum_relay/entry_role.py
@@ -336,6 +336,7 @@
             self._budget.set_entry_vms(view.entry_vms)
 
     def _on_table(self, table: RoutingTable) -> None:
+        self._backends.set_services(table.services)
         self._listener.set_limits(table.limits)
         larger = msgspec.structs.replace(
             table.limits, max_headers=table.limits.max_headers + ADDED_HEADERS
--- a/packages/relay/src/nutmegdrum_relay/list_reader.py
+++ b/packages/relay/src/nutmegdrum_relay/list_reader.py
@@ -47,6 +47,7 @@
     at_ms: int
     listed: list[ListedBackend]
     token: str
+    ignored: int = 0
 
 
 class ListReader:
@@ -87,6 +88,7 @@
         self._interrupted: _Begun | None = None
         self._upstream = UpstreamPool(clock)
         self._readable = True
+        self._ignored = 0
         self._loop = Loop("list", self._step)
         self.start = self._loop.start
         self.stop = self._loop.stop
@@ -112,20 +114,22 @@
         than the calls allowed in a second cannot be read in one run.
         """
         progress = self._resume_or_start()
-        listed, token = progress.listed, progress.token
+        listed, token, ignored = progress.listed, progress.token, progress.ignored
         try:
             for _ in range(MAX_PAGES):
                 page = self._dialect.decode_listing(self._page(token))
                 listed.extend(page.listed)
+                ignored += page.ignored
                 token = page.next_token
                 if not token:
                     break
         except (ConnectFailed, ConnectionLost, TimeoutError, ValueError) as exc:
             if self._rate_limited:
-                self._interrupted = _Begun(progress.at_ms, listed, token)
+                self._interrupted = _Begun(progress.at_ms, listed, token, ignored)
             self._log_readable(False, str(exc))
             return
         self._log_readable(True, "")
+        self._log_ignored(ignored)
         self._on_list(listed, progress.at_ms)
 
     def _resume_or_start(self) -> "_Begun":
@@ -162,3 +166,8 @@
             self._readable = readable
             kind = "backend_list_regained" if readable else "backend_list_lost"
             log_decision(kind, error=error)
+
+    def _log_ignored(self, ignored: int) -> None:
+        if ignored != self._ignored:
+            self._ignored = ignored
+            log_decision("list_entries_ignored", entries=ignored)
--- a/packages/relay/src/nutmegdrum_relay/silence.py
+++ b/packages/relay/src/nutmegdrum_relay/silence.py
@@ -117,7 +117,7 @@
                 spoke=spoke,
             )
             return
-        if contact is Contact.REPLACED:
+        if contact is Contact.REPLACED and not backend.gone:
             self._backends.on_replaced(backend)
         self._probe_after(backend, SILENT_PROBE_PERIOD)
         self._backends.on_down(backend, "silent", silent=not is_lost(silence))
--- a/packages/relay/tests/test_list_reader.py
+++ b/packages/relay/tests/test_list_reader.py
@@ -184,3 +184,27 @@
         clock.advance(LISTING_VALID + 400)
         assert backends.needs_listing(USUAL_REPORT_WAIT)
         assert not backends.needs_listing(Duration(1_000))
+
+
+class TestIgnoredEntries:
+    def test_their_number_is_logged_when_it_changes(self, monkeypatch):
+        logged = []
+        monkeypatch.setattr(
+            "nutmegdrum_relay.list_reader.log_decision",
+            lambda kind, **fields: logged.append((kind, fields)),
+        )
+        reader = Reader(
+            Platform(ManualClock(1_000)),
+            random.Random(1),
+            Duration(1_000),
+            lambda: True,
+            lambda listing, read_ms: None,
+            False,
+        )
+        for ignored in (0, 2, 2, 0):
+            reader.decode_listing = lambda data, n=ignored: ListingPage([], "", n)
+            reader.step()
+        assert logged == [
+            ("list_entries_ignored", {"entries": 2}),
+            ("list_entries_ignored", {"entries": 0}),
+        ]
--- a/packages/testing/src/nutmegdrum_testing/soak/engines.py
+++ b/packages/testing/src/nutmegdrum_testing/soak/engines.py
@@ -33,6 +33,10 @@
 SLOW_PREFIX = "stops-"
 """Prefix of the ids of requests that `Engines.slow_stream` answers."""
 
+FOREIGN_LISTS = 3
+"""Reads of the list for which entries of another writer come, at the addresses of the servers, and
+are gone again."""
+
 FIRST_VERSION = "v1"
 BAD_FAILURES = 0.6
 """Share of the requests that a bad version answers with status 500."""
@@ -75,6 +79,7 @@
         self._rng = rng
         self._lock = threading.Lock()
         self._number = 0
+        self._lists = 0
         self._serving: list[tuple[ListedBackend, ScriptedBackend, Link]] = []
         self.run_counts: Counter[str] = Counter()
         self.faults_enabled = True
@@ -174,6 +179,12 @@
                 }
                 for e, _, _ in self._serving
             ]
+            self._lists += 1
+            if self._lists // FOREIGN_LISTS % 2:
+                servers += [
+                    {**entry, "id": f"other-{entry['id']}", "service": "elsewhere"}
+                    for entry in servers
+                ]
         received.answer(200, msgspec.json.encode({"servers": servers, "next": ""}))
 
     def _fault(self) -> str:
