Check the status of answers in one place for both relays

The check that withholds an answer whose status would deny that a request ran stood in the plain and in the stream relay, with the same text. It is check_status now. The set of headers that the own gateway drops from replies was built anew for each reply, and is a constant. Behaviour is unchanged.

--- a/packages/kernel/src/nutmegdrum/plain_http.py
+++ b/packages/kernel/src/nutmegdrum/plain_http.py
@@ -52,6 +52,8 @@
 not passed through from backend servers, as a request that ran would be taken for one that did not.
 """
 
+_DROPPED_FROM_REPLIES = OWN_HEADERS | STATED_BY_GATEWAY
+
 
 class PlainCall(NamedTuple):
     """One attempt at a call to a plain service.
@@ -216,5 +218,5 @@
 
 
 def _reply_headers(response: HTTPResponse) -> dict[str, str]:
-    dropped = OWN_HEADERS | STATED_BY_GATEWAY
-    return {k: v for k, v in response.headers.items() if k.lower() not in dropped}
+    kept = response.headers.items()
+    return {k: v for k, v in kept if k.lower() not in _DROPPED_FROM_REPLIES}
--- a/packages/relay/src/nutmegdrum_relay/attempt.py
+++ b/packages/relay/src/nutmegdrum_relay/attempt.py
@@ -5,6 +5,8 @@
 from nutmegdrum_scheduling.placement.stream_pace import StreamPace
 
 from nutmegdrum_relay.backends import Backend
+from nutmegdrum_relay.documents import Route
+from nutmegdrum_relay.refusals import denies_run
 from nutmegdrum_relay.retry_policy import Loss
 from nutmegdrum_relay.upstream import AbortReason, AnswerHead, Exchange
 from nutmegdrum_relay.version_tally import FirstEventWait, TallyKey
@@ -34,6 +36,18 @@
         return self.loss.value if self.aborted is None else self.aborted.value
 
 
+def check_status(route: Route, status: int) -> None:
+    """Check that an answer with this status may be passed on.
+
+    Raises
+    ------
+    AttemptLost
+        If it would tell the caller falsely that its request has not run.
+    """
+    if denies_run(route, status):
+        raise AttemptLost(Loss.FAILED, f"status {status} of a request that may have run")
+
+
 @dataclass(eq=False)
 class Attempt:
     """An attempt whose response headers have arrived.
--- a/packages/relay/src/nutmegdrum_relay/plain_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/plain_relay.py
@@ -8,14 +8,13 @@
 from nutmegdrum_coord.ids import BackendId
 from nutmegdrum_scheduling.resends.kinds import Resend
 
-from nutmegdrum_relay.attempt import FAILED_STATUS, AttemptLost
+from nutmegdrum_relay.attempt import FAILED_STATUS, AttemptLost, check_status
 from nutmegdrum_relay.attempts import Attempts, log_attempt_lost
 from nutmegdrum_relay.backends import Backend
 from nutmegdrum_relay.callers import Call, CallerDisconnected
 from nutmegdrum_relay.dialect import Headers
 from nutmegdrum_relay.headers import answer_headers
 from nutmegdrum_relay.pending_request import PendingRequest
-from nutmegdrum_relay.refusals import denies_run
 from nutmegdrum_relay.resends import Resends
 from nutmegdrum_relay.retry_policy import FailedAttempts, Loss, attempt_timeout, may_retry
 from nutmegdrum_relay.selection import Selection
@@ -121,8 +120,7 @@
             keep = True
             status = attempt.answer.status
             failed = status >= FAILED_STATUS
-            if denies_run(pending.route, status):
-                raise AttemptLost(Loss.FAILED, f"status {status} of a request that may have run")
+            check_status(pending.route, status)
             return CompleteAnswer(status, attempt.answer.headers, body)
         except AttemptLost as lost:
             # A shortage of this VM's memory says nothing about the server.
--- a/packages/relay/src/nutmegdrum_relay/stream_relay.py
+++ b/packages/relay/src/nutmegdrum_relay/stream_relay.py
@@ -16,7 +16,7 @@
 from nutmegdrum_scheduling.resends.kinds import Resend
 from prometheus_client import Counter
 
-from nutmegdrum_relay.attempt import FAILED_STATUS, Attempt, AttemptLost
+from nutmegdrum_relay.attempt import FAILED_STATUS, Attempt, AttemptLost, check_status
 from nutmegdrum_relay.attempts import Attempts, log_attempt_lost
 from nutmegdrum_relay.backends import Backend
 from nutmegdrum_relay.callers import Call, CallerDisconnected
@@ -24,7 +24,6 @@
 from nutmegdrum_relay.dialect import Headers
 from nutmegdrum_relay.headers import answer_headers
 from nutmegdrum_relay.pending_request import PendingRequest
-from nutmegdrum_relay.refusals import denies_run
 from nutmegdrum_relay.resends import WAITS, Lack, Resends, WaitEnd
 from nutmegdrum_relay.retry_policy import (
     MAX_UNSENT_ATTEMPTS,
@@ -312,8 +311,7 @@
         status = attempt.answer.status
         if state.head_sent or (status >= FAILED_STATUS and may_continue):
             raise AttemptLost(Loss.FAILED, f"status {status}")
-        if denies_run(pending.route, status):
-            raise AttemptLost(Loss.FAILED, f"status {status} of a request that may have run")
+        check_status(pending.route, status)
         pending.answer_whole = True
         call.answer(status, answer_headers(attempt.answer.headers), body)
         return status
