--- a/packages/relay/tests/test_entry_vms_cut_off.py
+++ b/packages/relay/tests/test_entry_vms_cut_off.py
@@ -10,7 +10,7 @@
 from nutmegdrum.units import Address
 from nutmegdrum_coord.ids import BackendId
 from nutmegdrum_testing.dark_address import dark_address
-from nutmegdrum_testing.relay_calls import answers, connect, get, headers, numbers
+from nutmegdrum_testing.relay_calls import answers, connect, cut_off, get, headers, numbers
 from nutmegdrum_testing.relay_world import RelayWorld, document
 from nutmegdrum_testing.scripted_backend import ScriptedBackend
 from nutmegdrum_testing.waiting import wait_for
@@ -58,14 +58,6 @@
     received.end_events()
 
 
-def cut_off(world, addresses, how="refused"):
-    """Cut a VM off from its backend servers, and wait until it knows."""
-    world.lose_paths(addresses(how, 3))
-    get(world, "/idempotent/first")
-    servers = world.backends.of_service("svc")
-    wait_for(lambda: world.links.is_cut_off("svc", servers))
-
-
 class TestCutOff:
     @pytest.mark.parametrize("how", ["refused", "hangs"])
     @pytest.mark.parametrize("kind", KINDS)
@@ -73,7 +65,7 @@
         lost, *others = worlds
         (backend,) = others[0].add(served)
         others[1].share([backend])
-        cut_off(lost, addresses, how)
+        cut_off(lost, addresses(how, 3))
         for number in range(5):
             status, sent, body = get(lost, f"/{kind}/x", "POST", b"b", X_Id=f"q{number}")
             assert (status, sent.get("X-Id")) == (200, f"q{number}")
@@ -85,7 +77,7 @@
     def test_requests_go_directly_again_after_the_cut(self, worlds, addresses):
         lost, *others = worlds
         (backend,) = others[0].add(served)
-        cut_off(lost, addresses)
+        cut_off(lost, addresses("refused", 3))
         lost.share([backend])
         servers = lost.backends.of_service("svc")
         wait_for(lambda: not lost.links.is_cut_off("svc", servers))
@@ -94,7 +86,7 @@
 
     def test_a_request_is_not_passed_on_twice(self, worlds, addresses):
         for world in worlds:
-            cut_off(world, addresses)
+            cut_off(world, addresses("refused", 3))
         for kind in KINDS:
             status, sent, _ = get(worlds[0], f"/{kind}/x", "POST", X_Deadline="5000")
             assert (status, float(sent["Retry-After"]) > 0) == (503, True)
@@ -102,7 +94,7 @@
     def test_servers_that_others_find_down_are_not_asked_for_elsewhere(self, worlds, addresses):
         lost, other, _ = worlds
         (backend,) = other.add(served)
-        cut_off(lost, addresses)
+        cut_off(lost, addresses("refused", 3))
         before = len(backend.received)
         lost.backends.pause_reported_down(["b0", "b1", "b2"])
         assert get(lost, "/non-idempotent/x", "POST")[0] == 503
@@ -113,7 +105,7 @@
         (backend,) = old.add(served)
         lost.set_peers(old)
         lost.table.version = 2
-        cut_off(lost, addresses)
+        cut_off(lost, addresses("refused", 3))
         assert get(lost, "/idempotent/x")[0] == 503
         assert backend.received == []
 
@@ -121,7 +113,7 @@
         lost, other, _ = worlds
         (backend,) = other.add(served)
         lost.set_peers(other)
-        cut_off(lost, addresses)
+        cut_off(lost, addresses("refused", 3))
         assert get(lost, "/idempotent/x", X_Key="wrong")[0] == 401
         get(lost, "/idempotent/x")
         assert "x-key" not in backend.received[-1].headers
@@ -130,7 +122,7 @@
         lost, other, _ = worlds
         other.add(answers(200, b"body", Nutmegdrum_Refused="not-run"))
         lost.set_peers(other)
-        cut_off(lost, addresses)
+        cut_off(lost, addresses("refused", 3))
         status, sent, _ = get(lost, "/non-idempotent/x", "POST")
         assert (status, "Nutmegdrum-Refused" in sent) == (200, False)
 
@@ -147,7 +139,7 @@
 
         other.add(waits)
         lost.set_peers(other)
-        cut_off(lost, addresses)
+        cut_off(lost, addresses("refused", 3))
         begun.clear()
         conn = connect(lost)
         conn.request("POST", "/stream/x", b"", headers())
@@ -167,7 +159,7 @@
         lost, *others = worlds
         first, *rest = others[0].add(*[answers(500)] * 5)
         others[1].share([first, *rest])
-        cut_off(lost, addresses)
+        cut_off(lost, addresses("refused", 3))
         before = sum(len(backend.received) for backend in (first, *rest))
         assert get(lost, f"/{kind}/x", "POST")[0] >= 500
         runs = sum(len(backend.received) for backend in (first, *rest)) - before
@@ -201,7 +193,7 @@
 
     def lost_world(self, worlds, addresses, peers):
         worlds[0].set_peer_addresses(*(peer.address for peer in peers))
-        cut_off(worlds[0], addresses)
+        cut_off(worlds[0], addresses("refused", 3))
         return worlds[0]
 
     def test_a_request_that_may_have_run_is_not_sent_again(self, worlds, addresses, peers):
@@ -253,7 +245,7 @@
         self, worlds, addresses, kind, monkeypatch
     ):
         lost, *_ = worlds
-        cut_off(lost, addresses)
+        cut_off(lost, addresses("refused", 3))
         for number in range(3):
             lost.backends.limits.on_answer(BackendId(f"b{number}"), ServerLimits(3.0))
         taken = []
--- a/packages/relay/tests/test_false_refusals.py
+++ b/packages/relay/tests/test_false_refusals.py
@@ -5,7 +5,7 @@
 import pytest
 from nutmegdrum_relay.documents import RouteKind
 from nutmegdrum_relay.retry_policy import Loss
-from nutmegdrum_testing.relay_calls import answers, get
+from nutmegdrum_testing.relay_calls import answers, cut_off, get
 from nutmegdrum_testing.relay_world import RelayWorld, document, free_address, route
 from nutmegdrum_testing.scripted_backend import ScriptedBackend
 from nutmegdrum_testing.waiting import wait_for
@@ -49,14 +49,6 @@
         each.stop()
 
 
-def cut_off(world):
-    """Cut an entry VM off from its backend servers, and wait until it knows."""
-    world.lose_paths([free_address()])
-    get(world, "/idempotent/first")
-    servers = world.backends.of_service("svc")
-    wait_for(lambda: world.links.is_cut_off("svc", servers))
-
-
 def assert_may_have_run(answer):
     status, sent, body = answer
     assert status == 502
@@ -93,7 +85,7 @@
         lost, other = worlds(), worlds()
         (backend,) = other.add(answers(status, b"failed", X_Seal="s"))
         lost.set_peers(other)
-        cut_off(lost)
+        cut_off(lost, [free_address()])
         assert_may_have_run(get(lost, path, "POST"))
         assert sum(r.target == path for r in backend.received) == 1
 
@@ -102,7 +94,7 @@
     def test_is_not_answered_as_not_run_by_way_of_an_earlier_build(self, world, peer, status, path):
         earlier = peer(answers(status, b"failed", X_Seal="s"))
         world.set_peer_addresses(earlier.address)
-        cut_off(world)
+        cut_off(world, [free_address()])
         assert_may_have_run(get(world, path, "POST"))
         assert sum(r.target == path for r in earlier.received) == 1
 
@@ -160,7 +152,7 @@
         lost, other = worlds(), worlds()
         other.add(answers(503, X_Not_Run="1"))
         lost.set_peers(other)
-        cut_off(lost)
+        cut_off(lost, [free_address()])
         answered, _, body = get(lost, path, "POST")
         assert (answered, json.loads(body)["verdict"]) == (503, "not-run")
 
--- a/packages/relay/tests/test_mixed_builds.py
+++ b/packages/relay/tests/test_mixed_builds.py
@@ -26,10 +26,9 @@
 )
 from nutmegdrum_scheduling.resends.budget import RetryLimits
 from nutmegdrum_scheduling.resends.leases import ResendCounts
-from nutmegdrum_testing.relay_calls import answers, get, headers
+from nutmegdrum_testing.relay_calls import answers, cut_off, get, headers
 from nutmegdrum_testing.relay_world import RelayWorld, document, listed
 from nutmegdrum_testing.scripted_backend import ScriptedBackend
-from nutmegdrum_testing.waiting import wait_for
 
 
 class OldLimit(msgspec.Struct, frozen=True, array_like=True):
@@ -296,10 +295,8 @@
     return resp.status, {name.lower(): value for name, value in resp.getheaders()}
 
 
-def cut_off(world):
-    world.lose_paths([Address("127.0.0.1:1")])
-    get(world, "/idempotent/first")
-    wait_for(lambda: world.links.is_cut_off("svc", world.backends.of_service("svc")))
+CLOSED = Address("127.0.0.1:1")
+"""Address at which nothing listens."""
 
 
 class TestPassedOnRequests:
@@ -312,7 +309,7 @@
     def test_the_last_landing_gets_the_headers_that_it_reads(self, world, peers):
         (peer,) = peers(answers(200, b"body"))
         world.set_peer_addresses(peer.address)
-        cut_off(world)
+        cut_off(world, [CLOSED])
         assert get(world, "/idempotent/x", "POST", b"", X_Deadline="3000")[0] == 200
         received = peer.received[-1].headers
         assert received["nutmegdrum-document"] == "1"
@@ -342,7 +339,7 @@
         """Without a budget a request goes to a second VM only if no server got it before."""
         running = peers(*[answers(503, Nutmegdrum_Refused="not-run", **marks)] * 2)
         world.set_peer_addresses(*(peer.address for peer in running))
-        cut_off(world)
+        cut_off(world, [CLOSED])
         assert get(world, "/non-idempotent/x", "POST")[0] == 503
         assert sum("first" not in r.target for p in running for r in p.received) == received
 
@@ -350,7 +347,7 @@
         marks = {"Nutmegdrum_Refused": "may-have-run", "Nutmegdrum_Sent": "1"}
         running = peers(answers(502, **marks))
         world.set_peer_addresses(running[0].address)
-        cut_off(world)
+        cut_off(world, [CLOSED])
         status, sent, _ = get(world, "/non-idempotent/x", "POST")
         assert status == 502
         assert not [name for name in sent if name.lower().startswith("nutmegdrum-")]
--- a/packages/testing/src/nutmegdrum_testing/relay_calls.py
+++ b/packages/testing/src/nutmegdrum_testing/relay_calls.py
@@ -1,9 +1,13 @@
 """Calls to a relay in this process, and scripts of plain answers for its backend servers."""
 
 import http.client
+from collections.abc import Sequence
 
-from nutmegdrum_testing.relay_world import HOST, KEY, RelayWorld
+from nutmegdrum.units import Address
+
+from nutmegdrum_testing.relay_world import HOST, KEY, SERVICE, RelayWorld
 from nutmegdrum_testing.scripted_backend import Script
+from nutmegdrum_testing.waiting import wait_for
 
 CALL_TIMEOUT_S = 10
 
@@ -41,3 +45,17 @@
 def numbers(body: bytes) -> list[int]:
     """Return the event ids of a stream's body."""
     return [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
+
+
+def cut_off(world: RelayWorld, addresses: Sequence[Address]) -> None:
+    """Cut an entry VM off from its backend servers, and wait until it knows.
+
+    Parameters
+    ----------
+    addresses : sequence of Address
+        Addresses at which no server answers, which are listed in place of the servers'.
+    """
+    world.lose_paths(addresses)
+    get(world, "/idempotent/first")
+    servers = world.backends.of_service(SERVICE)
+    wait_for(lambda: world.links.is_cut_off(SERVICE, servers))
